--- a/src/bin/chalkgap-simhost/main.rs
+++ b/src/bin/chalkgap-simhost/main.rs
@@ -1,9 +1,8 @@
 //! The adapter between the simulator's wire and the decision module. Translation only.
 
-mod conf;
 mod wire;
 
-use chalkgap::{Action, Event, Gateway};
+use chalkgap::{conf::Conf, Action, Event, Gateway, Settings};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -30,6 +29,12 @@
     Ok(Some(frame))
 }
 
+/// The settings, and the names of the values in a load report.
+fn parse(text: &str) -> Result<(Settings, Vec<String>), String> {
+    let conf = Conf::from_lines(text)?;
+    Ok((conf.settings()?, conf.report_fields()?))
+}
+
 fn run() -> Result<(), String> {
     let mut input = io::stdin().lock();
     let mut output = io::stdout().lock();
@@ -44,7 +49,7 @@
             let event = match record.decode(&fields)? {
                 None => continue,
                 Some(wire::Decoded::Start { instance, seed, conf }) => {
-                    let (settings, names) = conf::parse(conf).map_err(|e| record.error("conf", &e))?;
+                    let (settings, names) = parse(conf).map_err(|e| record.error("conf", &e))?;
                     fields.insert(instance, names);
                     gateways.insert(instance, Gateway::new(settings, seed, batch.clock));
                     continue;
--- a/src/bin/chalkgap-simhost/wire.rs
+++ b/src/bin/chalkgap-simhost/wire.rs
@@ -1,8 +1,8 @@
 //! The simulator's frames: reading batches, writing replies. Every length and offset is checked.
 
 use chalkgap::{
-    Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report, Request,
-    RequestId, RosterKind,
+    conf::note_field, Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report,
+    Request, RequestId, RosterKind,
 };
 use std::collections::BTreeMap;
 
@@ -143,15 +143,7 @@
         for (i, name) in fields.iter().enumerate().take(n) {
             let value = f32_at(self.body, at + 1 + 4 * i);
             let value = value.is_finite().then_some(value);
-            match name.as_str() {
-                "concurrent" => report.in_flight = value,
-                "depth" => report.queue = value,
-                "load_share" => report.util = value,
-                "mean_ms" => report.latency_ms = value,
-                "tps" => report.served = value,
-                "err_ps" => report.errors = value,
-                _ => {}
-            }
+            note_field(&mut report, name, value);
         }
         (n > 0).then_some(report)
     }
--- /dev/null
+++ b/src/bin/wrenfork/backends.rs
@@ -0,0 +1,392 @@
+//! Connections to backends: a pool for each, attempts and probes, and how these end. A connection carries one
+//! request at a time, for calling an attempt off means closing its connection.
+
+use crate::discovery::Roster;
+use crate::resp::{self, Element, Kind, Reply};
+use chalkgap::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+
+/// Bytes read at once.
+const CHUNK: usize = 32 * 1024;
+/// Reads from one connection in a turn: more than the longest answer needs.
+const READS_A_TURN: usize = 8;
+
+/// What a connection is busy with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    Attempt(RequestId, u16),
+    Probe,
+}
+
+/// A connection, for as long as it lives: places in the slab are used again, serial numbers are not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Link {
+    key: usize,
+    serial: u64,
+}
+
+/// How an attempt or a probe ended.
+pub struct Done {
+    pub work: Work,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    pub began: Micros,
+    pub report: Option<Report>,
+    /// With [`Outcome::Ok`]: the value's bytes as they came.
+    pub value: Vec<u8>,
+}
+
+struct Conn {
+    stream: TcpStream,
+    serial: u64,
+    backend: BackendId,
+    address: SocketAddr,
+    connected: bool,
+    work: Option<Work>,
+    /// When its work began, or when it fell idle.
+    since: Micros,
+    out: Vec<u8>,
+    written: usize,
+    buf: Vec<u8>,
+}
+
+impl Conn {
+    /// Whether the backend may have begun: the command's last byte is written.
+    fn sent(&self) -> bool {
+        self.written == self.out.len()
+    }
+
+    /// What the end of the connection means for the work on it.
+    fn broken(&self) -> Outcome {
+        if self.sent() {
+            Outcome::Reset
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+}
+
+#[derive(Default)]
+struct Pool {
+    address: Option<SocketAddr>,
+    /// The connections with no work, the newest last.
+    idle: Vec<usize>,
+}
+
+/// All backends, as far as sockets go.
+pub struct Backends {
+    conns: Slab<Conn>,
+    pools: HashMap<BackendId, Pool>,
+    serial: u64,
+    chunk: Vec<u8>,
+    /// Idle connections are closed after this, before the backend does.
+    idle_for: Micros,
+    tokens: fn(usize) -> Token,
+    /// What ended since it was last looked at, in order.
+    pub done: Vec<Done>,
+}
+
+/// The value's bytes if this is the answer to a request, else none.
+fn served(buf: &[u8], list: &[Element]) -> Option<(Vec<u8>, Option<Report>)> {
+    let [value, _, load] = list else { return None };
+    let report = (load.kind == Kind::Bulk).then(|| report(&buf[load.text.clone()])).flatten();
+    (value.kind == Kind::Bulk).then(|| (buf[value.whole.clone()].to_vec(), report))
+}
+
+/// A load report such as `inflight=7,util=0.61`; none if nothing in it is one.
+fn report(text: &[u8]) -> Option<Report> {
+    let mut report = Report::default();
+    for (name, value) in std::str::from_utf8(text).ok()?.split(',').filter_map(|f| f.split_once('=')) {
+        let value = value.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        note_field(&mut report, name, value);
+    }
+    (report != Report::default()).then_some(report)
+}
+
+/// What an answer means; none if it is no answer to this work.
+fn judge(buf: &[u8], reply: &Reply, work: Work) -> Option<(Outcome, Vec<u8>, Option<Report>)> {
+    match (reply, work) {
+        (Reply::Array(list), Work::Attempt(..)) => {
+            served(buf, list).map(|(value, report)| (Outcome::Ok, value, report))
+        }
+        (Reply::One(e), _) if e.kind == Kind::Error => {
+            let text = &buf[e.text.clone()];
+            let first = text.split(|b| *b == b' ').next();
+            let outcome = if first == Some(b"BUSY") { Outcome::Full } else { Outcome::Error };
+            let last = text.rsplit(|b| *b == b' ').next();
+            Some((outcome, Vec::new(), last.and_then(report)))
+        }
+        (Reply::One(e), Work::Probe) if e.kind == Kind::Bulk => {
+            Some((Outcome::Ok, Vec::new(), report(&buf[e.text.clone()])))
+        }
+        _ => None,
+    }
+}
+
+impl Backends {
+    /// No backend yet. `tokens` names the connections to the poll.
+    pub fn new(keepalive: Micros, tokens: fn(usize) -> Token) -> Self {
+        Backends {
+            conns: Slab::new(),
+            pools: HashMap::new(),
+            serial: 0,
+            chunk: vec![0; CHUNK],
+            // Where both ends close at the same moment a request may be written to a dead connection.
+            idle_for: keepalive / 5 * 4,
+            tokens,
+            done: Vec::new(),
+        }
+    }
+
+    /// How many connections there are.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Takes over the addresses of a list.
+    pub fn update(&mut self, roster: &Roster) {
+        let mut absent: Vec<BackendId> = Vec::new();
+        if roster.whole {
+            let listed = |id: &BackendId| roster.entries.iter().any(|e| e.listed.backend == *id);
+            absent.extend(self.pools.keys().filter(|id| !listed(id)));
+        }
+        for e in &roster.entries {
+            let id = e.listed.backend;
+            if e.listed.availability == Availability::Gone {
+                absent.push(id);
+                continue;
+            }
+            let moved = self.pools.get(&id).is_some_and(|p| p.address != e.address);
+            // What is idle at a place that it left, or that drains, is of no more use.
+            if moved || e.listed.availability == Availability::Draining {
+                self.close_idle(id);
+            }
+            self.pools.entry(id).or_default().address = e.address;
+        }
+        for id in absent {
+            self.close_idle(id);
+            self.pools.remove(&id);
+        }
+    }
+
+    /// Whether work for a backend would need a new connection.
+    pub fn must_connect(&self, backend: BackendId) -> bool {
+        self.pools.get(&backend).is_some_and(|p| p.idle.is_empty())
+    }
+
+    /// Begins an attempt or a probe with what `fill` writes. What fails at once is in `done`; else the
+    /// connection is told, and whether it is still to come up.
+    pub fn begin(
+        &mut self,
+        registry: &Registry,
+        backend: BackendId,
+        work: Work,
+        now: Micros,
+        fill: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<(Link, bool)> {
+        let Some(key) = self.connection(registry, backend, now) else {
+            let (outcome, report, value) = (Outcome::ConnectFailed, None, Vec::new());
+            self.done.push(Done { work, backend, outcome, began: now, report, value });
+            return None;
+        };
+        let conn = &mut self.conns[key];
+        (conn.work, conn.since, conn.written) = (Some(work), now, 0);
+        conn.out.clear();
+        fill(&mut conn.out);
+        let link = Link { key, serial: conn.serial };
+        self.write(key);
+        self.conns.get(key).map(|conn| (link, !conn.connected))
+    }
+
+    /// The newest idle connection to a backend, or a new one.
+    fn connection(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
+        let pool = self.pools.get_mut(&backend)?;
+        if let Some(key) = pool.idle.pop() {
+            return Some(key);
+        }
+        let address = pool.address?;
+        let mut stream = TcpStream::connect(address).ok()?;
+        let place = self.conns.vacant_entry();
+        registry
+            .register(&mut stream, (self.tokens)(place.key()), Interest::READABLE | Interest::WRITABLE)
+            .ok()?;
+        // Without it the second of two small writes would wait for the first one's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        self.serial += 1;
+        let key = place.key();
+        place.insert(Conn {
+            stream,
+            serial: self.serial,
+            backend,
+            address,
+            connected: false,
+            work: None,
+            since: now,
+            out: Vec::new(),
+            written: 0,
+            buf: Vec::new(),
+        });
+        Some(key)
+    }
+
+    /// Closes a connection, if it is still the one meant; the work on it is the caller's to account for. Tells
+    /// whether the command's last byte had been written.
+    pub fn abandon(&mut self, link: Link) -> Option<bool> {
+        let sent = self.conns.get(link.key).filter(|c| c.serial == link.serial)?.sent();
+        self.remove(link.key);
+        Some(sent)
+    }
+
+    /// Ends a connection that has not come up in time.
+    pub fn connect_overdue(&mut self, link: Link) {
+        if self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.connected) {
+            self.end(link.key, Outcome::ConnectFailed, Vec::new(), None);
+            self.remove(link.key);
+        }
+    }
+
+    fn remove(&mut self, key: usize) {
+        let conn = self.conns.remove(key); // dropped, it is closed, and so out of the poll
+        if let Some(pool) = self.pools.get_mut(&conn.backend).filter(|_| conn.work.is_none()) {
+            pool.idle.retain(|k| *k != key);
+        }
+    }
+
+    /// Notes how a connection's work ended.
+    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<Report>) {
+        let conn = &mut self.conns[key];
+        if let Some(work) = conn.work {
+            let (backend, began) = (conn.backend, conn.since);
+            self.done.push(Done { work, backend, outcome, began, report, value });
+        }
+    }
+
+    fn write(&mut self, key: usize) {
+        let conn = &mut self.conns[key];
+        while conn.written < conn.out.len() {
+            match conn.stream.write(&conn.out[conn.written..]) {
+                Ok(n) => {
+                    conn.written += n;
+                    conn.connected = true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // Not up yet, or no room: the socket will show as writable.
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    return
+                }
+                Err(_) => {
+                    // It may have said why before it broke: turned away with too many connections, say.
+                    let (serial, since) = (conn.serial, conn.since);
+                    self.read(key, since, true);
+                    if self.conns.get(key).is_some_and(|c| c.serial == serial) {
+                        self.end(key, Outcome::ConnectFailed, Vec::new(), None);
+                        self.remove(key);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Does what a connection is ready for; `closed` says that its end is near, `now` when it falls idle.
+    pub fn ready(&mut self, key: usize, now: Micros, writable: bool, closed: bool) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        if writable && !conn.connected && conn.stream.peer_addr().is_ok() {
+            conn.connected = true;
+        }
+        if writable && !conn.sent() {
+            self.write(key);
+        }
+        if self.conns.contains(key) {
+            self.read(key, now, closed);
+        }
+    }
+
+    fn read(&mut self, key: usize, now: Micros, closed: bool) {
+        for _ in 0..READS_A_TURN {
+            let conn = &mut self.conns[key];
+            match conn.stream.read(&mut self.chunk) {
+                Ok(n) if n > 0 => {
+                    conn.buf.extend_from_slice(&self.chunk[..n]);
+                    if !self.take_answer(key, now) {
+                        return self.remove(key);
+                    }
+                    // Less than there was room for: that was all, and more will be told.
+                    if n < CHUNK && !closed {
+                        return;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    return
+                }
+                Ok(_) | Err(_) => {
+                    let outcome = conn.broken();
+                    self.end(key, outcome, Vec::new(), None);
+                    return self.remove(key);
+                }
+            }
+        }
+        // No answer is that long, and a backend that sends without end is not waited for.
+        let outcome = self.conns[key].broken();
+        self.end(key, outcome, Vec::new(), None);
+        self.remove(key);
+    }
+
+    /// Looks whether the answer is whole; false if the connection is of no more use.
+    fn take_answer(&mut self, key: usize, now: Micros) -> bool {
+        let conn = &mut self.conns[key];
+        let Some(work) = conn.work else { return false }; // nobody asked for anything
+        let (reply, end) = match resp::reply(&conn.buf) {
+            Ok(None) => return true,
+            Ok(Some(found)) => found,
+            Err(_) => {
+                let outcome = conn.broken();
+                self.end(key, outcome, Vec::new(), None);
+                return false;
+            }
+        };
+        let judged = judge(&conn.buf, &reply, work);
+        // An answer to half a command can only say that it was not let in.
+        let judged = judged.filter(|j| conn.sent() || j.0 == Outcome::Full);
+        let broken = conn.broken();
+        let clean = judged.is_some() && conn.sent() && end == conn.buf.len();
+        let (outcome, value, report) = judged.unwrap_or((broken, Vec::new(), None));
+        self.end(key, outcome, value, report);
+        let conn = &mut self.conns[key];
+        let pool = self.pools.get_mut(&conn.backend).filter(|p| p.address == Some(conn.address));
+        let Some(pool) = pool.filter(|_| clean) else { return false };
+        (conn.work, conn.since) = (None, now);
+        conn.buf.clear();
+        conn.buf.shrink_to(CHUNK);
+        conn.out.shrink_to(CHUNK);
+        pool.idle.push(key);
+        true
+    }
+
+    /// Closes the idle connections to a backend.
+    pub fn close_idle(&mut self, backend: BackendId) {
+        let idle = self.pools.get_mut(&backend).map(|p| std::mem::take(&mut p.idle));
+        idle.into_iter().flatten().for_each(|key| drop(self.conns.remove(key)));
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn sweep(&mut self, now: Micros) {
+        let old = |c: &Conn| c.work.is_none() && now > c.since + self.idle_for;
+        let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
+        old.into_iter().for_each(|key| self.remove(key));
+    }
+
+    /// Closes the connection that has been idle for longest, to make room; false if none is idle.
+    pub fn close_oldest(&mut self) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.work.is_none());
+        let oldest = idle.min_by_key(|(_, c)| c.since).map(|(key, _)| key);
+        oldest.into_iter().for_each(|key| self.remove(key));
+        oldest.is_some()
+    }
+}
--- /dev/null
+++ b/src/bin/wrenfork/call.rs
@@ -0,0 +1,220 @@
+//! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
+
+use crate::resp;
+use chalkgap::{CustomerId, Micros, Repeat, Request};
+use std::ops::Range;
+
+/// The longest that a client may say it waits, in milliseconds.
+const MOST_WAIT_MS: u64 = 3_600_000;
+/// The most bytes of an id.
+const MOST_ID: usize = 64;
+/// Customers are numbers below this.
+const MOST_CUSTOMER: u64 = 1 << 33;
+
+/// What the settings name: needed to read a request.
+pub struct Vocabulary {
+    /// The classes, and whether each is safe or keyed.
+    pub classes: Vec<(String, Repeat)>,
+    /// The plans.
+    pub plans: Vec<String>,
+}
+
+/// A client's request.
+#[derive(Debug)]
+pub struct Call {
+    /// What the module is told; its id and deadline are the host's to fill in.
+    pub request: Request,
+    /// How long the client waits.
+    pub wait: Micros,
+    /// The command as it came, but for the length of its options and the value of `d`.
+    bytes: Vec<u8>,
+    head: usize,
+    before: usize,
+    after: usize,
+}
+
+fn digits(text: &[u8], most: u64, what: &str) -> Result<u64, String> {
+    let fits = !text.is_empty() && text.len() <= 10 && text.iter().all(u8::is_ascii_digit);
+    let n = fits.then(|| text.iter().fold(0, |n, d| n * 10 + u64::from(d - b'0')));
+    n.filter(|n| *n <= most).ok_or_else(|| format!("{what} is no whole number up to {most}"))
+}
+
+/// A number from nought up, in plain digits with or without a fraction.
+fn number(text: &[u8], what: &str) -> Result<f64, String> {
+    let plain = !text.is_empty() && text.len() <= 20 && text.iter().all(|b| b.is_ascii_digit() || *b == b'.');
+    let n = std::str::from_utf8(text).ok().filter(|_| plain).and_then(|t| t.parse::<f64>().ok());
+    n.ok_or_else(|| format!("{what} is no number"))
+}
+
+fn graphic(text: &[u8]) -> bool {
+    !text.is_empty() && text.len() <= MOST_ID && text.iter().all(u8::is_ascii_graphic)
+}
+
+impl Call {
+    /// Reads a command's arguments, the verb among them; none if the verb is another one.
+    pub fn read(buf: &[u8], args: &[Range<usize>], words: &Vocabulary) -> Option<Result<Call, String>> {
+        let verb = &buf[args.first()?.clone()];
+        let post = match verb {
+            b"CALL.GET" => false,
+            b"CALL.POST" => true,
+            _ => return None,
+        };
+        let want = if post { 5 } else { 4 };
+        if args.len() != want {
+            return Some(Err(format!("{want} arguments are wanted, with the command")));
+        }
+        let args: Vec<&[u8]> = args.iter().map(|r| &buf[r.clone()]).collect();
+        Some(Call::parse(post, &args, words))
+    }
+
+    fn parse(post: bool, args: &[&[u8]], words: &Vocabulary) -> Result<Call, String> {
+        let (customer, id, options) = (args[1], args[2], args[3]);
+        let hex = customer.len() == 16 && customer.iter().all(u8::is_ascii_hexdigit);
+        let customer_id = std::str::from_utf8(customer).ok().filter(|_| hex);
+        let customer_id = customer_id.and_then(|t| u64::from_str_radix(t, 16).ok());
+        let customer_id = customer_id
+            .filter(|n| *n < MOST_CUSTOMER)
+            .ok_or("the customer is no number of 16 hex digits below 2^33")?;
+        if !graphic(id) {
+            return Err("the id is no plain word".into());
+        }
+        let (mut class, mut plan, mut wait, mut key) = (None, None, None, None);
+        let (mut units, mut width, mut first) = (None, None, None);
+        let mut at = 0;
+        for option in options.split(|b| *b == b',') {
+            let start = at;
+            at += option.len() + 1;
+            let eq = option.iter().position(|b| *b == b'=').ok_or("an option has no '='")?;
+            let (name, value) = (&option[..eq], &option[eq + 1..]);
+            let twice = match name {
+                b"c" => class.replace(value).is_some(),
+                b"t" => plan.replace(value).is_some(),
+                b"k" => key.replace(value).is_some(),
+                b"d" => {
+                    let ms = digits(value, MOST_WAIT_MS, "d")?;
+                    wait.replace((ms * 1000, start + eq + 1..start + option.len())).is_some()
+                }
+                b"units" => units.replace(number(value, "units")?).is_some(),
+                b"spread" => width.replace(digits(value, 65_535, "spread")?).is_some(),
+                b"first" => first.replace(digits(value, 65_535, "first")?).is_some(),
+                _ => false,
+            };
+            if twice {
+                return Err(format!("{} is given twice", String::from_utf8_lossy(name)));
+            }
+        }
+        let missing = |name: &str| format!("{name} is missing");
+        let class = class.ok_or_else(|| missing("c"))?;
+        let class =
+            words.classes.iter().position(|c| c.0.as_bytes() == class).ok_or("the class is unknown")?;
+        let plan = plan.ok_or_else(|| missing("t"))?;
+        let plan = words.plans.iter().position(|p| p.as_bytes() == plan).ok_or("the plan is unknown")?;
+        let (wait, place) = wait.ok_or_else(|| missing("d"))?;
+        let repeat = words.classes[class].1;
+        if post == (repeat == Repeat::Safe) {
+            return Err("CALL.GET is for classes that are safe to repeat, CALL.POST for the others".into());
+        }
+        if matches!(repeat, Repeat::Keyed { .. }) && !key.is_some_and(graphic) {
+            return Err(missing("k"));
+        }
+        let request = Request {
+            class: u8::try_from(class).map_err(|_| "the class is unknown")?,
+            plan: u16::try_from(plan).map_err(|_| "the plan is unknown")?,
+            customer: CustomerId(customer_id),
+            units: units.ok_or_else(|| missing("units"))?,
+            width: width.ok_or_else(|| missing("spread"))? as f64,
+            first: first.ok_or_else(|| missing("first"))? as f64,
+            ..Request::default()
+        };
+        let mut bytes = Vec::with_capacity(96 + options.len() + args.get(4).map_or(0, |b| b.len() + 16));
+        resp::put_array(&mut bytes, args.len());
+        args[..3].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
+        let head = bytes.len();
+        bytes.extend_from_slice(&options[..place.start]);
+        let before = bytes.len();
+        bytes.extend_from_slice(&options[place.end..]);
+        let after = bytes.len();
+        args[4..].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
+        Ok(Call { request, wait, bytes, head, before, after })
+    }
+
+    /// Appends the command as it goes to a backend, which is told how long it is waited for.
+    pub fn write(&self, wait: Micros, out: &mut Vec<u8>) {
+        let ms = (wait / 1000).max(1).to_string();
+        out.extend_from_slice(&self.bytes[..self.head]);
+        let (before, after) = (&self.bytes[self.head..self.before], &self.bytes[self.before..self.after]);
+        resp::put_bulk(out, &[before, ms.as_bytes(), after]);
+        out.extend_from_slice(&self.bytes[self.after..]);
+    }
+
+    /// What it takes in memory, roughly.
+    pub fn size(&self) -> usize {
+        self.bytes.capacity() + std::mem::size_of::<Call>()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chalkgap::Group;
+
+    fn words() -> Vocabulary {
+        let keyed = Repeat::Keyed { group: Group::Cell, window: 3_000_000 };
+        let classes =
+            vec![("quote".into(), Repeat::Safe), ("save".into(), keyed), ("refer".into(), Repeat::Once)];
+        Vocabulary { classes, plans: vec!["starter".into(), "business".into()] }
+    }
+
+    fn read(parts: &[&str]) -> Result<Call, String> {
+        let (mut buf, mut args) = (Vec::new(), Vec::new());
+        resp::put_array(&mut buf, parts.len());
+        parts.iter().for_each(|p| resp::put_bulk(&mut buf, &[p.as_bytes()]));
+        resp::command(&buf, &mut args).unwrap().unwrap();
+        Call::read(&buf, &args, &words()).unwrap()
+    }
+
+    #[test]
+    fn a_call_goes_on_as_it_came_but_for_its_wait() {
+        let options = "c=save,t=business,d=480,k=5c0f,r=1,units=2,spread=3,first=1,new=x";
+        let call = read(&["CALL.POST", "00000000b4d65521", "9b1f", options, "BO\r\nDY"]).unwrap();
+        let r = call.request;
+        assert_eq!((r.class, r.plan, r.customer.0, call.wait), (1, 1, 0xb4d6_5521, 480_000));
+        assert_eq!((r.units, r.width, r.first), (2.0, 3.0, 1.0));
+        let mut out = Vec::new();
+        call.write(123_999, &mut out);
+        let want = options.replace("480", "123");
+        let want = format!(
+            "*5\r\n$9\r\nCALL.POST\r\n$16\r\n00000000b4d65521\r\n$4\r\n9b1f\r\n${}\r\n{want}\r\n$6\r\nBO\r\nDY\r\n",
+            want.len()
+        );
+        assert_eq!(String::from_utf8(out).unwrap(), want);
+    }
+
+    #[test]
+    fn what_is_missing_or_bad_is_named() {
+        let good = "c=quote,t=starter,d=480,units=2,spread=3,first=1";
+        assert!(read(&["CALL.GET", "00000000b4d65521", "9b1f", good]).is_ok());
+        for (from, to, want) in [
+            ("c=quote", "c=other", "class"),
+            ("c=quote", "c=save", "CALL.GET"),
+            ("t=starter", "t=gold", "plan"),
+            ("d=480", "d=-1", "d is no"),
+            ("d=480", "d=99999999999999999999", "d is no"),
+            ("units=2", "units=nan", "units"),
+            ("units=2", "units=1e9", "units"),
+            ("spread=3", "spread=x", "spread"),
+            (",first=1", "", "first is missing"),
+            (",first=1", ",first", "'='"),
+            ("units=2", "units=2,units=3", "twice"),
+        ] {
+            let err = read(&["CALL.GET", "00000000b4d65521", "9b1f", &good.replace(from, to)]).unwrap_err();
+            assert!(err.contains(want), "{to}: {err}");
+        }
+        assert!(read(&["CALL.GET", "0000000fb4d65521", "9b1f", good]).is_err(), "a customer of 2^33 or more");
+        assert!(read(&["CALL.GET", "b4d65521", "9b1f", good]).is_err(), "a short customer");
+        assert!(read(&["CALL.GET", "00000000b4d65521", "", good]).is_err(), "an empty id");
+        assert!(read(&["CALL.GET", "00000000b4d65521", "9b1f", good, "BODY"]).is_err());
+        let save = good.replace("quote", "save");
+        assert!(read(&["CALL.POST", "00000000b4d65521", "9b1f", &save, "BODY"]).unwrap_err().contains('k'));
+    }
+}
--- /dev/null
+++ b/src/bin/wrenfork/clients.rs
@@ -0,0 +1,460 @@
+//! The clients' side: the listener, the connections, and the answers in the order of their requests.
+
+use crate::call::{Call, Vocabulary};
+use crate::resp;
+use chalkgap::{Micros, RequestId};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::ops::Range;
+
+/// Bytes read at once, and reads from one connection in a turn: a fast client must not hold up the others.
+const CHUNK: usize = 16 * 1024;
+const READS_A_TURN: usize = 4;
+/// Connections accepted in a turn.
+const ACCEPTS_A_TURN: usize = 64;
+/// Requests of one connection that may wait for their answer, and bytes of answers that may wait for the
+/// client to read them: beyond either, no more is read from it.
+const MOST_WAITING: usize = 256;
+const MOST_UNREAD: usize = 512 * 1024;
+/// How long a connection that was told why it is closed may take to read that.
+const LINGER: Micros = 1_000_000;
+
+/// Where an answer belongs.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    key: usize,
+    serial: u64,
+    slot: u64,
+}
+
+/// What a connection brought.
+pub enum Incoming {
+    /// A request, under the name that it has here.
+    Call(RequestId, Origin, Call),
+    /// The client of a request that is not answered has gone.
+    Gone(RequestId),
+}
+
+/// An answer, or the place for one that is still to come.
+enum Slot {
+    Waiting(RequestId),
+    Ready(Vec<u8>),
+}
+
+struct Client {
+    stream: TcpStream,
+    serial: u64,
+    buf: Vec<u8>,
+    /// Answers in the order of the requests, and the number of the first of them.
+    slots: VecDeque<Slot>,
+    first: u64,
+    out: Vec<u8>,
+    written: usize,
+    since: Micros,
+    /// What it still says is not read: it is closed once all before that is answered.
+    closing: bool,
+    /// Its answers are written and its sending has ended; until then it may read them.
+    linger_until: Option<Micros>,
+    /// Taken in beyond the budget of descriptors: told so with its first request, and closed.
+    surplus: bool,
+    shut: bool,
+    /// Reading stopped since its line of answers is full.
+    stalled: bool,
+    /// In the list of those to be written to, and of those to be read again.
+    dirty: bool,
+    listed: bool,
+}
+
+impl Client {
+    /// Between two requests, with nothing under way in either direction.
+    fn idle(&self) -> bool {
+        self.slots.is_empty() && self.out.is_empty() && self.buf.is_empty() && !self.closing && !self.surplus
+    }
+
+    fn full(&self) -> bool {
+        self.slots.len() >= MOST_WAITING || self.out.len() - self.written >= MOST_UNREAD
+    }
+
+    /// Puts down an answer that is known at once.
+    fn answer_now(&mut self, text: &[u8]) {
+        if self.slots.is_empty() {
+            self.out.extend_from_slice(text);
+            self.first += 1;
+        } else {
+            self.slots.push_back(Slot::Ready(text.to_vec()));
+        }
+    }
+}
+
+/// Whether there is a descriptor for one more connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    Free,
+    /// Only to say that there is none.
+    Surplus,
+    None,
+}
+
+/// What accepting came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepted {
+    /// All that waited is in.
+    All,
+    /// There may be more.
+    More,
+    /// There is no descriptor to accept with.
+    NoRoom,
+}
+
+/// All client connections.
+pub struct Clients {
+    listener: Option<TcpListener>,
+    conns: Slab<Client>,
+    serial: u64,
+    next_id: u64,
+    tokens: fn(usize) -> Token,
+    words: Vocabulary,
+    chunk: Vec<u8>,
+    args: Vec<Range<usize>>,
+    /// Connections with something to write, and those to be read again.
+    dirty: Vec<usize>,
+    again: Vec<usize>,
+    /// Connections are closed as soon as they are between requests.
+    draining: bool,
+    lingering: usize,
+    /// What came since it was last looked at, in order.
+    pub incoming: VecDeque<Incoming>,
+}
+
+impl Clients {
+    /// Starts from a listener that is registered already.
+    pub fn new(listener: TcpListener, words: Vocabulary, tokens: fn(usize) -> Token) -> Self {
+        Clients {
+            listener: Some(listener),
+            conns: Slab::new(),
+            serial: 0,
+            next_id: 0,
+            tokens,
+            words,
+            chunk: vec![0; CHUNK],
+            args: Vec::new(),
+            dirty: Vec::new(),
+            again: Vec::new(),
+            draining: false,
+            lingering: 0,
+            incoming: VecDeque::new(),
+        }
+    }
+
+    /// How many connections there are.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// How many of them were taken in beyond the budget.
+    pub fn surplus(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| c.surplus).count()
+    }
+
+    /// How many of them still owe or await something.
+    pub fn busy(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| !c.slots.is_empty() || !c.out.is_empty()).count()
+    }
+
+    /// Accepts what waits, for as long as `room` finds a place for one more.
+    pub fn accept(
+        &mut self,
+        registry: &Registry,
+        now: Micros,
+        mut room: impl FnMut(&mut Self) -> Room,
+    ) -> Accepted {
+        for _ in 0..ACCEPTS_A_TURN {
+            let room = room(self);
+            if room == Room::None {
+                return Accepted::NoRoom;
+            }
+            let Some(listener) = &self.listener else { return Accepted::All };
+            match listener.accept() {
+                Ok((stream, _)) => self.add(stream, registry, now, room == Room::Surplus),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
+                // One that was gone before it was accepted.
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
+                // Out of descriptors or memory in spite of the budget: an idle one may make room.
+                Err(_) if self.close_oldest() => {}
+                Err(_) => return Accepted::NoRoom,
+            }
+        }
+        Accepted::More
+    }
+
+    fn add(&mut self, mut stream: TcpStream, registry: &Registry, now: Micros, surplus: bool) {
+        let place = self.conns.vacant_entry();
+        let token = (self.tokens)(place.key());
+        if registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_err() {
+            return;
+        }
+        let _ = stream.set_nodelay(true); // an answer is one write: there is nothing to wait for
+        self.serial += 1;
+        self.lingering += usize::from(surplus);
+        place.insert(Client {
+            stream,
+            serial: self.serial,
+            buf: Vec::new(),
+            slots: VecDeque::new(),
+            first: 0,
+            out: Vec::new(),
+            written: 0,
+            since: now,
+            closing: false,
+            linger_until: surplus.then_some(now + LINGER),
+            surplus,
+            shut: false,
+            stalled: false,
+            dirty: false,
+            listed: false,
+        });
+    }
+
+    /// Does what a connection is ready for; `closed` says that its end is near.
+    pub fn ready(&mut self, key: usize, now: Micros, writable: bool, closed: bool) {
+        let Some(c) = self.conns.get_mut(key) else { return };
+        if writable && !c.out.is_empty() && !c.dirty {
+            c.dirty = true;
+            self.dirty.push(key);
+        }
+        self.read(key, now, closed);
+    }
+
+    /// Whether there is something to do before any socket shows as ready.
+    pub fn has_more(&self) -> bool {
+        !(self.again.is_empty() && self.dirty.is_empty() && self.incoming.is_empty())
+    }
+
+    /// Reads on where a turn's bound ended the reading.
+    pub fn read_again(&mut self, now: Micros) {
+        for key in std::mem::take(&mut self.again) {
+            if let Some(c) = self.conns.get_mut(key) {
+                c.listed = false;
+                self.read(key, now, true);
+            }
+        }
+    }
+
+    fn read(&mut self, key: usize, now: Micros, closed: bool) {
+        for _ in 0..READS_A_TURN {
+            if !self.take_commands(key, now) {
+                self.conns[key].stalled = true;
+                return;
+            }
+            let c = &mut self.conns[key];
+            match c.stream.read(&mut self.chunk) {
+                Ok(0) => return self.remove(key),
+                Ok(n) if c.closing => {
+                    // Read, or the kernel would reset the connection under the answers; but not looked at.
+                    if n < CHUNK && !closed {
+                        return;
+                    }
+                }
+                Ok(n) => {
+                    c.buf.extend_from_slice(&self.chunk[..n]);
+                    // Less than there was room for: that was all, and more will be told.
+                    if n < CHUNK && !closed {
+                        self.conns[key].stalled = !self.take_commands(key, now);
+                        return;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => return self.remove(key),
+            }
+        }
+        self.conns[key].stalled = !self.take_commands(key, now);
+        if !self.conns[key].stalled {
+            self.read_later(key);
+        }
+    }
+
+    fn read_later(&mut self, key: usize) {
+        if !std::mem::replace(&mut self.conns[key].listed, true) {
+            self.again.push(key);
+        }
+    }
+
+    /// Takes the whole commands out of what a connection has said; false if it is not to be read now.
+    fn take_commands(&mut self, key: usize, now: Micros) -> bool {
+        let c = &mut self.conns[key];
+        let mut at = 0;
+        while !c.closing && !c.full() && at < c.buf.len() {
+            let slots = c.slots.len() as u64;
+            match resp::command(&c.buf[at..], &mut self.args) {
+                Ok(None) => break,
+                Ok(Some(n)) => {
+                    let part = &c.buf[at..at + n];
+                    at += n;
+                    c.since = now.max(c.since);
+                    match Call::read(part, &self.args, &self.words) {
+                        Some(Ok(_)) if c.surplus => {
+                            c.answer_now(b"-BUSY\r\n");
+                            c.closing = true;
+                            at = c.buf.len();
+                        }
+                        Some(Ok(call)) => {
+                            self.next_id += 1;
+                            let id = RequestId(self.next_id);
+                            let origin = Origin { key, serial: c.serial, slot: c.first + slots };
+                            c.slots.push_back(Slot::Waiting(id));
+                            self.incoming.push_back(Incoming::Call(id, origin, call));
+                            continue;
+                        }
+                        Some(Err(why)) => {
+                            let mut text = Vec::new();
+                            resp::put_error(&mut text, &why);
+                            c.answer_now(&text);
+                        }
+                        None if part[self.args[0].clone()].eq_ignore_ascii_case(b"PING") => {
+                            c.answer_now(b"+PONG\r\n");
+                        }
+                        None => c.answer_now(b"-ERR unknown command\r\n"),
+                    }
+                }
+                Err(why) => {
+                    let mut text = Vec::new();
+                    resp::put_error(&mut text, &format!("protocol error: {}", why.0));
+                    c.answer_now(&text);
+                    c.closing = true;
+                    at = c.buf.len();
+                }
+            }
+            if !std::mem::replace(&mut c.dirty, true) {
+                self.dirty.push(key);
+            }
+        }
+        c.buf.drain(..at);
+        if c.buf.is_empty() {
+            c.buf.shrink_to(CHUNK);
+        }
+        !c.full()
+    }
+
+    /// Gives a request its final answer, a whole RESP2 value.
+    pub fn answer(&mut self, origin: Origin, text: &[u8]) {
+        let found = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial);
+        let Some(c) = found.filter(|c| origin.slot >= c.first) else { return };
+        let at = (origin.slot - c.first) as usize;
+        if at == 0 && matches!(c.slots.front(), Some(Slot::Waiting(_))) {
+            c.slots.pop_front();
+            c.first += 1;
+            c.out.extend_from_slice(text);
+        } else if let Some(slot) = c.slots.get_mut(at) {
+            *slot = Slot::Ready(text.to_vec());
+        }
+        while let Some(Slot::Ready(_)) = c.slots.front() {
+            if let Some(Slot::Ready(text)) = c.slots.pop_front() {
+                c.first += 1;
+                c.out.extend_from_slice(&text);
+            }
+        }
+        if !std::mem::replace(&mut c.dirty, true) {
+            self.dirty.push(origin.key);
+        }
+    }
+
+    /// Writes what there is to write: one write for all answers that a connection gets in a turn.
+    pub fn flush(&mut self, now: Micros) {
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(c) = self.conns.get_mut(key) else { continue };
+            c.dirty = false;
+            let broken = loop {
+                if c.written == c.out.len() {
+                    break false;
+                }
+                match c.stream.write(&c.out[c.written..]) {
+                    Ok(n) => c.written += n,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break false,
+                    Err(_) => break true,
+                }
+            };
+            if broken {
+                self.remove(key);
+                continue;
+            }
+            if c.written == c.out.len() {
+                (c.written, c.since) = (0, now.max(c.since));
+                c.out.clear();
+                c.out.shrink_to(CHUNK);
+            }
+            // Commands that were held back by a full line of answers are taken up again.
+            if c.stalled && !c.full() {
+                c.stalled = false;
+                self.read_later(key);
+            }
+            self.finish(key, now);
+        }
+    }
+
+    /// Closes a connection that is done with.
+    fn finish(&mut self, key: usize, now: Micros) {
+        let c = &mut self.conns[key];
+        if c.closing && c.slots.is_empty() && c.out.is_empty() && !c.shut {
+            // Closed at once, what the client still sends would reset the connection under the last answer.
+            let _ = c.stream.shutdown(Shutdown::Write);
+            c.shut = true;
+            self.lingering += usize::from(c.linger_until.is_none());
+            c.linger_until = Some(now + LINGER);
+        } else if self.draining && c.idle() {
+            self.close_if_silent(key, now);
+        }
+    }
+
+    /// Closes an idle connection unless a request has come on it that was not read yet.
+    fn close_if_silent(&mut self, key: usize, now: Micros) {
+        self.read(key, now, true);
+        if self.conns.get(key).is_some_and(Client::idle) {
+            self.remove(key);
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, to make room; false if none is idle.
+    pub fn close_oldest(&mut self) -> bool {
+        loop {
+            let idle = self.conns.iter().filter(|(_, c)| c.idle());
+            let Some((key, since)) = idle.min_by_key(|(_, c)| c.since).map(|(key, c)| (key, c.since)) else {
+                return false;
+            };
+            self.close_if_silent(key, since);
+            if !self.conns.contains(key) {
+                return true;
+            }
+        }
+    }
+
+    /// Forgets a connection; requests that it still waits for have lost their client.
+    fn remove(&mut self, key: usize) {
+        let c = self.conns.remove(key); // dropped, it is closed, and so out of the poll
+        self.lingering -= usize::from(c.linger_until.is_some());
+        let waiting = c.slots.iter().filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
+        self.incoming.extend(waiting.map(Incoming::Gone));
+    }
+
+    /// Closes what has lingered for long enough.
+    pub fn sweep(&mut self, now: Micros) {
+        if self.lingering > 0 {
+            let over = |c: &Client| c.linger_until.is_some_and(|t| t <= now);
+            let over: Vec<usize> = self.conns.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
+            over.into_iter().for_each(|key| self.remove(key));
+        }
+    }
+
+    /// Takes no new connections, and closes those that there are between requests.
+    pub fn drain(&mut self, now: Micros) {
+        (self.listener, self.draining) = (None, true);
+        let idle: Vec<usize> = self.conns.iter().filter(|(_, c)| c.idle()).map(|(key, _)| key).collect();
+        idle.into_iter().for_each(|key| self.close_if_silent(key, now));
+    }
+}
--- /dev/null
+++ b/src/bin/wrenfork/config.rs
@@ -0,0 +1,125 @@
+//! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
+
+use crate::call::Vocabulary;
+use crate::discovery::{Roster, Sites};
+use chalkgap::{conf::Conf, Micros, Settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// What an ingress is told.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// The most file descriptors.
+    pub sockets: usize,
+    /// The most bytes of memory.
+    pub memory: usize,
+    /// Where peers' messages come in; none where the settings allow no messages.
+    pub peers: Option<PeerAddresses>,
+    /// The list of backends as last held.
+    pub known: Roster,
+    pub settings: Settings,
+    pub vocabulary: Vocabulary,
+    pub sites: Sites,
+    pub connect_timeout: Micros,
+    pub keepalive: Micros,
+}
+
+/// The peers of an ingress.
+pub struct PeerAddresses {
+    pub listen: SocketAddr,
+    /// By their number, this one among them.
+    pub peers: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
+fn address(text: &str, key: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key} is no address and port: {text}"))
+}
+
+fn text<'a>(object: &'a Value, key: &str) -> Result<&'a str, String> {
+    object.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing or no text"))
+}
+
+fn whole(object: &Value, list: &str, key: &str) -> Result<usize, String> {
+    let n = object.get(list).and_then(|l| l.get(key)).and_then(Value::as_u64);
+    let n = n.and_then(|n| usize::try_from(n).ok()).filter(|n| *n > 0);
+    n.ok_or_else(|| format!("{list}.{key} is missing or no whole number above 0"))
+}
+
+/// Flattens nested settings to the paths that the adapter's settings have.
+fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
+    match value {
+        Value::Null => {}
+        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(&below(key), v, pairs)),
+        Value::Array(list) => {
+            if list.iter().all(Value::is_object) {
+                pairs.push((below("count"), list.len().to_string()));
+                list.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
+            }
+            if !list.iter().any(Value::is_object) {
+                let joined: Vec<String> = list.iter().map(plain).collect();
+                pairs.push((path.to_string(), joined.join(",")));
+            }
+        }
+        _ => pairs.push((path.to_string(), plain(value))),
+    }
+}
+
+impl Config {
+    /// Reads the file's text; `var` looks up the environment, whose addresses come before the file's.
+    pub fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let json: Value = serde_json::from_str(file).map_err(|e| format!("the file is no JSON: {e}"))?;
+        let place = |name: &str, key: &str| match var(name) {
+            Some(text) => address(&text, name),
+            None => address(text(&json, key)?, key),
+        };
+        let seed = text(&json, "seed")?;
+        let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hex number: {seed}"))?;
+        let mut pairs = Vec::new();
+        flatten("", json.get("settings").ok_or("settings is missing")?, &mut pairs);
+        let conf = Conf::new(pairs);
+        let settings = conf.settings()?;
+        if settings.tick == 0 {
+            return Err("setting tick_us is 0".into());
+        }
+        let names = conf.names("grades")?;
+        let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
+        let vocabulary = Vocabulary { classes, plans: conf.names("contracts")? };
+        let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
+        let known = json.get("known").ok_or("known is missing")?;
+        let known = Roster::read(known, &sites).map_err(|e| format!("known: {e}"))?;
+        let peers = if settings.limits.peers { Some(Self::peers(&json)?) } else { None };
+        if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateways)) {
+            return Err("peers does not have one address for each of setting n_instances".into());
+        }
+        Ok(Config {
+            listen: place("LB_LISTEN", "listen")?,
+            discovery: place("LB_DISCOVERY", "discovery")?,
+            seed,
+            sockets: whole(&json, "limits", "sockets")?,
+            memory: whole(&json, "limits", "memory_mb")?.saturating_mul(1 << 20),
+            peers,
+            known,
+            connect_timeout: conf.micros("limits.connect_timeout_us")?,
+            keepalive: conf.micros("limits.keepalive_us")?,
+            settings,
+            vocabulary,
+            sites,
+        })
+    }
+
+    fn peers(json: &Value) -> Result<PeerAddresses, String> {
+        let list = json.get("peers").and_then(Value::as_array).ok_or("peers is missing or no list")?;
+        let one = |v: &Value| address(v.as_str().unwrap_or_default(), "peers");
+        let all = json.get("peers_all").filter(|v| !v.is_null());
+        Ok(PeerAddresses {
+            listen: address(text(json, "peer_listen")?, "peer_listen")?,
+            peers: list.iter().map(one).collect::<Result<_, _>>()?,
+            all: all.map(|v| address(v.as_str().unwrap_or_default(), "peers_all")).transpose()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/wrenfork/ingress.rs
@@ -0,0 +1,626 @@
+//! The loop. It feeds the module what the sockets brought, carries out what the module asks for in that order,
+//! and owns the open requests and the timers. It decides nothing: no backend, no further attempt, no refusal but
+//! where a limit of the settings leaves no room to ask the module.
+
+use crate::backends::{Backends, Done, Link, Work};
+use crate::call::Call;
+use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
+use crate::config::Config;
+use crate::discovery::{Roster, Watch};
+use crate::peers::Peers;
+use crate::resp;
+use chalkgap::{
+    Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
+};
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io;
+use std::io::Write;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const DISCOVERY: Token = Token(2);
+const PEERS: Token = Token(3);
+/// From here on, even tokens are clients and odd ones backends.
+const FIRST: usize = 4;
+
+/// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
+/// peers, and some to spare for what is opened before another is closed.
+const OTHER_SOCKETS: usize = 20;
+/// Clients that are taken in beyond the budget, only to be told so.
+const MOST_SURPLUS: usize = 8;
+/// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
+const MOST_EIGHTHS: usize = 6;
+/// The part of the memory that open requests may take.
+const MEMORY_SHARE: usize = 4;
+/// How long connections are still accepted once told to stop: new ones come for up to 0.4 s.
+const STILL_ACCEPTING: Micros = 500_000;
+/// How long after that a client that says nothing whole is still waited for.
+const LAST_WAIT: Micros = 1_000_000;
+/// Time between looks at what has been idle for long.
+const SWEEP: Micros = 500_000;
+/// Time until accepting is tried again after there was no descriptor for it.
+const ACCEPT_AGAIN: Micros = 10_000;
+/// What an answer may take on its way to the client, besides two ticks.
+const ON_THE_WAY: Micros = 2_000;
+
+/// The clock: monotonic, but counted from the same moment as Unix time, since backends' starts are told in that
+/// and peers compare theirs. It is set once; later steps of the system's clock do not reach it.
+struct Clock {
+    start: Instant,
+    offset: Micros,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), offset: unix.as_micros() as Micros }
+    }
+
+    fn now(&self) -> Micros {
+        self.offset + self.start.elapsed().as_micros() as Micros
+    }
+}
+
+/// What falls due at a time.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// The module's.
+    Module(u32),
+    /// An attempt is given up.
+    Expire(RequestId, u16),
+    /// A client's time is over.
+    Overdue(RequestId),
+    /// A connection should be up.
+    Connect(Link),
+    /// A probe is given up.
+    Probe(Link, BackendId, Micros),
+    Sweep,
+    Accept,
+    /// The time of accepting while stopping is over.
+    Close,
+}
+
+struct Attempt {
+    backend: BackendId,
+    began: Micros,
+    /// Its connection, while it is out.
+    link: Option<Link>,
+}
+
+struct Open {
+    call: Call,
+    origin: Origin,
+    deadline: Micros,
+    attempts: Vec<Attempt>,
+    /// It has its final answer, or its client has gone.
+    over: bool,
+}
+
+impl Open {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.link.is_some())
+    }
+}
+
+/// The ingress.
+pub struct Ingress {
+    poll: Poll,
+    clock: Clock,
+    now: Micros,
+    tick: Micros,
+    limits: Limits,
+    asks_discovery: bool,
+    connect_timeout: Micros,
+    sockets: usize,
+    memory: usize,
+    gateway: Gateway,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    clients: Clients,
+    backends: Backends,
+    watch: Watch,
+    peers: Option<Peers>,
+    signals: Signals,
+    requests: HashMap<RequestId, Open>,
+    /// The memory of the open requests.
+    held: usize,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    accept_more: bool,
+    peers_more: bool,
+    /// Told to stop, and when the connections were begun to be closed.
+    stopping: bool,
+    closing_since: Option<Micros>,
+}
+
+fn settled(
+    id: RequestId,
+    attempt: u16,
+    a: (BackendId, Micros),
+    outcome: Outcome,
+    complete: bool,
+    now: Micros,
+) -> Event {
+    let (backend, took) = (a.0, now.saturating_sub(a.1));
+    Event::Settled {
+        id,
+        attempt,
+        backend,
+        outcome,
+        complete,
+        took,
+        metered: None,
+        charged: None,
+        report: None,
+    }
+}
+
+impl Ingress {
+    /// Opens the sockets. From here on clients may come; they are served once [`Ingress::run`] runs.
+    pub fn start(config: Config) -> Result<Self, String> {
+        let failed = |what: &str, e: io::Error| format!("{what}: {e}");
+        let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
+        let registry = poll.registry();
+        let mut listener = TcpListener::bind(config.listen)
+            .map_err(|e| failed(&format!("listen: cannot listen at {}", config.listen), e))?;
+        let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| failed("cannot take signals", e))?;
+        let registered = registry
+            .register(&mut listener, LISTENER, Interest::READABLE)
+            .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
+        registered.map_err(|e| failed("cannot poll", e))?;
+        let peers = config.peers.map(|p| {
+            let at = p.listen;
+            Peers::bind(p, registry, PEERS).map_err(|e| failed(&format!("peer_listen: cannot bind {at}"), e))
+        });
+        let peers = peers.transpose()?;
+        let clock = Clock::new();
+        let now = clock.now();
+        let settings = config.settings;
+        let sockets = config.sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
+        let mut ingress = Ingress {
+            poll,
+            clock,
+            now,
+            tick: settings.tick,
+            limits: settings.limits.clone(),
+            asks_discovery: settings.discovery == Discovery::Ask,
+            connect_timeout: config.connect_timeout,
+            sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {}", config.sockets))?,
+            memory: config.memory / MEMORY_SHARE,
+            gateway: Gateway::new(settings, config.seed, now),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            clients: Clients::new(listener, config.vocabulary, |key| Token(FIRST + 2 * key)),
+            backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
+            watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
+            peers,
+            signals,
+            requests: HashMap::new(),
+            held: 0,
+            timers: BinaryHeap::from([Reverse((now + SWEEP, Due::Sweep))]),
+            accept_more: false,
+            peers_more: false,
+            stopping: false,
+            closing_since: None,
+        };
+        ingress.take_roster(config.known, RosterKind::Cached);
+        ingress.pump();
+        crate::log(&format!("listening at {}", config.listen));
+        Ok(ingress)
+    }
+
+    /// Runs until told to stop and idle.
+    pub fn run(mut self) -> Result<(), String> {
+        let (mut events, mut more) = (Events::with_capacity(512), Events::with_capacity(512));
+        let mut ready: Vec<(Token, bool, bool)> = Vec::new();
+        loop {
+            let timeout = self.timeout();
+            self.wait(&mut events, timeout)?;
+            let early = (self.now + self.tick).saturating_sub(self.clock.now());
+            more.clear();
+            if early > 0 {
+                // The rest of the tick: what comes meanwhile belongs to the same turn, and to its clock.
+                std::thread::sleep(Duration::from_micros(early));
+                self.wait(&mut more, Duration::ZERO)?;
+            }
+            self.now = self.now.max(self.clock.now());
+            ready.clear();
+            let seen = events.iter().chain(more.iter());
+            ready.extend(seen.map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())));
+            self.turn(&mut ready);
+            if self.stopping && self.may_exit() {
+                crate::log("stopped");
+                return Ok(());
+            }
+        }
+    }
+
+    fn wait(&mut self, events: &mut Events, timeout: Duration) -> Result<(), String> {
+        match self.poll.poll(events, Some(timeout)) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => Err(format!("cannot poll: {e}")),
+            _ => Ok(()),
+        }
+    }
+
+    fn timeout(&self) -> Duration {
+        if self.accept_more || self.peers_more || self.clients.has_more() {
+            return Duration::ZERO;
+        }
+        let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0);
+        Duration::from_micros(timer.min(self.watch.wake_at).saturating_sub(self.clock.now()))
+    }
+
+    /// One turn: all that came is read with one clock. Discovery comes first, so that a drain that has been told
+    /// reaches the module before any send; answers come before the timers that would call them missing.
+    fn turn(&mut self, ready: &mut [(Token, bool, bool)]) {
+        ready.sort_unstable_by_key(|r| match r.0 {
+            DISCOVERY => 0,
+            Token(t) if t >= FIRST && t % 2 == 1 => 1,
+            PEERS => 2,
+            _ => 3,
+        });
+        self.discover(ready.first().is_some_and(|r| r.0 == DISCOVERY));
+        if std::mem::take(&mut self.peers_more) {
+            self.hear_peers();
+        }
+        self.clients.read_again(self.now);
+        self.take_incoming();
+        for &(token, writable, closed) in ready.iter() {
+            match token {
+                DISCOVERY => {}
+                LISTENER => self.accept_more = true,
+                SIGNALS => self.take_signals(),
+                PEERS => self.hear_peers(),
+                Token(t) if (t - FIRST) % 2 == 1 => {
+                    self.backends.ready((t - FIRST) / 2, self.now, writable, closed);
+                    self.pump();
+                }
+                Token(t) => {
+                    self.clients.ready((t - FIRST) / 2, self.now, writable, closed);
+                    self.take_incoming();
+                }
+            }
+        }
+        if std::mem::take(&mut self.accept_more) {
+            self.accept();
+        }
+        self.fire();
+        self.clients.flush(self.now);
+        self.take_incoming();
+    }
+
+    // ---- What comes in ----
+
+    fn discover(&mut self, ready: bool) {
+        let (now, registry, mut came) = (self.now, self.poll.registry(), Vec::new());
+        let mut failed = ready && self.watch.ready(now, registry, &mut |roster| came.push(roster));
+        failed |= self.watch.wake(now, registry);
+        for roster in came {
+            let kind = if roster.whole { RosterKind::Full } else { RosterKind::Delta };
+            self.take_roster(roster, kind);
+        }
+        if failed && self.asks_discovery {
+            self.events.push_back(Event::Roster(RosterKind::Failed, Vec::new()));
+        }
+        self.pump();
+    }
+
+    fn take_roster(&mut self, roster: Roster, kind: RosterKind) {
+        self.backends.update(&roster);
+        if kind != RosterKind::Delta || !roster.entries.is_empty() {
+            let list = roster.entries.iter().map(|e| e.listed).collect();
+            self.events.push_back(Event::Roster(kind, list));
+        }
+    }
+
+    fn hear_peers(&mut self) {
+        let events = &mut self.events;
+        if let Some(peers) = &mut self.peers {
+            self.peers_more |= peers.receive(|from, bytes| events.push_back(Event::Peer { from, bytes }));
+        }
+        self.pump();
+    }
+
+    fn take_signals(&mut self) {
+        if self.signals.pending().next().is_some() && !std::mem::replace(&mut self.stopping, true) {
+            crate::log("stopping: answering what has been taken");
+            self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
+        }
+    }
+
+    /// The descriptors in use, and whether one more may be taken.
+    fn full(&self) -> bool {
+        self.clients.len() + self.backends.len() >= self.sockets
+    }
+
+    fn accept(&mut self) {
+        let (budget, backends) = (self.sockets, &mut self.backends);
+        let room = |clients: &mut Clients| {
+            let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
+            let full = clients.len() >= share || all >= budget;
+            if !full || clients.close_oldest() || (clients.len() < share && backends.close_oldest()) {
+                Room::Free
+            } else if clients.surplus() < MOST_SURPLUS {
+                Room::Surplus
+            } else {
+                Room::None
+            }
+        };
+        match self.clients.accept(self.poll.registry(), self.now, room) {
+            Accepted::All => {}
+            Accepted::More => self.accept_more = true,
+            // The poll tells of each arrival once: who waits now must not wait for the next one to come.
+            Accepted::NoRoom => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
+        }
+        self.take_incoming();
+    }
+
+    fn take_incoming(&mut self) {
+        while let Some(incoming) = self.clients.incoming.pop_front() {
+            match incoming {
+                Incoming::Call(id, origin, call) => self.take_call(id, origin, call),
+                Incoming::Gone(id) => {
+                    if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
+                        open.over = true;
+                        self.events.push_back(Event::Withdrawn(id));
+                    }
+                    self.forget(id);
+                }
+            }
+            self.pump();
+        }
+    }
+
+    fn take_call(&mut self, id: RequestId, origin: Origin, call: Call) {
+        let size = call.size();
+        if self.requests.len() >= self.limits.max_open as usize || self.held + size > self.memory {
+            // Never let in, so trying again is harmless.
+            return self.clients.answer(origin, b"-BUSY\r\n");
+        }
+        // The module's deadline is a little before the client's: the last answer has a way to go.
+        let early = (2 * self.tick + ON_THE_WAY).min(call.wait / 4);
+        let mut request = call.request;
+        (request.id, request.deadline) = (id, self.now + call.wait - early);
+        self.timers.push(Reverse((request.deadline + early, Due::Overdue(id))));
+        self.held += size;
+        let (deadline, attempts) = (request.deadline, Vec::new());
+        self.requests.insert(id, Open { call, origin, deadline, attempts, over: false });
+        self.events.push_back(Event::Request(request));
+    }
+
+    // ---- Time ----
+
+    fn fire(&mut self) {
+        // Those set in this turn come in a later one.
+        let mut due = Vec::new();
+        while self.timers.peek().is_some_and(|t| t.0 .0 <= self.now) {
+            due.extend(self.timers.pop().map(|t| t.0 .1));
+        }
+        for one in due {
+            match one {
+                Due::Module(token) => self.events.push_back(Event::Timer(token)),
+                Due::Expire(id, attempt) => self.expire(id, attempt),
+                Due::Overdue(id) => self.overdue(id),
+                Due::Connect(link) => self.backends.connect_overdue(link),
+                Due::Probe(link, backend, began) => {
+                    if let Some(sent) = self.backends.abandon(link) {
+                        let outcome = if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        let took = self.now - began;
+                        self.events.push_back(Event::Probed { backend, outcome, took, report: None });
+                    }
+                }
+                Due::Sweep => {
+                    self.backends.sweep(self.now);
+                    self.clients.sweep(self.now);
+                    self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
+                }
+                Due::Accept => self.accept(),
+                Due::Close => {
+                    self.accept(); // those that the kernel took in meanwhile are ours as well
+                    self.closing_since = Some(self.now);
+                    self.clients.drain(self.now);
+                    self.take_incoming();
+                }
+            }
+            self.pump();
+        }
+    }
+
+    /// Gives an attempt up whose time is over. It may have run only if its last byte was written.
+    fn expire(&mut self, id: RequestId, attempt: u16) {
+        let outcome = |sent| if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        self.abandon(id, attempt, outcome);
+    }
+
+    fn abandon(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(bool) -> Outcome) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
+        let Some(sent) = a.link.and_then(|link| self.backends.abandon(link)) else { return };
+        a.link = None;
+        let who = (a.backend, a.began);
+        self.events.push_back(settled(id, attempt, who, outcome(sent), open.over, self.now));
+        self.forget(id);
+    }
+
+    /// A request without its final answer when the client's time is over is failed: the module should never let it
+    /// come to this, but no client is left without a word.
+    fn overdue(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|o| !o.over) {
+            self.answer(id, b"-ERR failed\r\n");
+            self.events.push_back(Event::Withdrawn(id));
+        }
+    }
+
+    // ---- What the module asks for ----
+
+    /// Feeds what has come and carries out what is asked, until neither leaves anything.
+    fn pump(&mut self) {
+        loop {
+            for done in std::mem::take(&mut self.backends.done) {
+                self.finish(done);
+            }
+            let Some(event) = self.events.pop_front() else { return };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.carry_out(action));
+            self.actions = actions;
+        }
+    }
+
+    /// An attempt or a probe has ended.
+    fn finish(&mut self, done: Done) {
+        let Done { work, backend, outcome, began, report, value } = done;
+        let took = self.now.saturating_sub(began);
+        let (id, attempt) = match work {
+            Work::Attempt(id, attempt) => (id, attempt),
+            Work::Probe => return self.events.push_back(Event::Probed { backend, outcome, took, report }),
+        };
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
+            a.link = None;
+        }
+        if outcome == Outcome::Ok {
+            self.answer(id, &value); // the first one is the final answer
+        }
+        let complete = self.requests.get(&id).map_or(true, |o| o.over);
+        let (metered, charged) = (None, None);
+        self.events.push_back(Event::Settled {
+            id,
+            attempt,
+            backend,
+            outcome,
+            complete,
+            took,
+            metered,
+            charged,
+            report,
+        });
+        self.forget(id);
+    }
+
+    /// Gives the final answer, once.
+    fn answer(&mut self, id: RequestId, text: &[u8]) {
+        if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
+            open.over = true;
+            self.clients.answer(open.origin, text);
+        }
+        self.forget(id);
+    }
+
+    /// Forgets a request that is over and has nothing out any more.
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
+            let open = self.requests.remove(&id);
+            self.held -= open.map_or(0, |o| o.call.size());
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, backend, expires } => self.send(id, backend, expires),
+            Action::Refuse { id, pause } => {
+                let mut text = [0; 40];
+                let mut rest = &mut text[..];
+                let _ = match pause {
+                    0 => write!(rest, "-BUSY\r\n"),
+                    _ => write!(rest, "-BUSY {}\r\n", pause.div_ceil(1000)),
+                };
+                let left = rest.len();
+                self.answer(id, &text[..40 - left]);
+            }
+            Action::Fail(id) => self.answer(id, b"-ERR failed\r\n"),
+            Action::Cancel { id, attempt } => self.abandon(id, attempt, |_| Outcome::Cancelled),
+            Action::SetTimer { delay, token } => {
+                self.timers.push(Reverse((self.now.saturating_add(delay), Due::Module(token))));
+            }
+            Action::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &bytes);
+                }
+            }
+            Action::Probe(backend) => self.probe(backend),
+            Action::CloseIdle(backend) => self.backends.close_idle(backend),
+            // The watch is always on: a real ingress must keep one in any case.
+            Action::Watch(_) => {}
+            Action::FetchRoster => self.watch.fetch_whole(),
+            // There is no counter among the real ingresses: nothing was added.
+            Action::Count { name, .. } => {
+                let (outcome, total) = (Outcome::ConnectFailed, 0.0);
+                self.events.push_back(Event::Counted { name, outcome, total });
+            }
+            Action::Log(text) => crate::log(&text),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
+        let Some(open) = self.requests.get_mut(&id) else {
+            // Ended and forgotten: there is no attempt to count.
+            return self.events.push_back(settled(id, 0, (backend, self.now), Outcome::Moot, true, self.now));
+        };
+        let number = open.attempts.len();
+        let attempt = u16::try_from(number).unwrap_or(u16::MAX);
+        let until = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
+        open.attempts.push(Attempt { backend, began: self.now, link: None });
+        if open.over || until <= self.now || number >= self.limits.max_attempts as usize {
+            let event = settled(id, attempt, (backend, self.now), Outcome::Moot, open.over, self.now);
+            return self.events.push_back(event);
+        }
+        if !self.make_room(backend) {
+            let outcome = Outcome::ConnectFailed;
+            let event = settled(id, attempt, (backend, self.now), outcome, false, self.now);
+            return self.events.push_back(event);
+        }
+        let (registry, work, wait) = (self.poll.registry(), Work::Attempt(id, attempt), until - self.now);
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let begun = self.backends.begin(registry, backend, work, self.now, |out| open.call.write(wait, out));
+        if let Some((link, connecting)) = begun {
+            open.attempts[number].link = Some(link);
+            self.timers.push(Reverse((until, Due::Expire(id, attempt))));
+            if connecting {
+                self.timers.push(Reverse((self.now + self.connect_timeout, Due::Connect(link))));
+            }
+        }
+    }
+
+    /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
+    fn make_room(&mut self, backend: BackendId) -> bool {
+        if !self.backends.must_connect(backend) {
+            return true;
+        }
+        if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
+            return self.backends.close_oldest();
+        }
+        !self.full() || self.backends.close_oldest() || self.clients.close_oldest()
+    }
+
+    fn probe(&mut self, backend: BackendId) {
+        if !self.make_room(backend) {
+            let (outcome, took) = (Outcome::ConnectFailed, 0);
+            return self.events.push_back(Event::Probed { backend, outcome, took, report: None });
+        }
+        let fill = |out: &mut Vec<u8>| {
+            resp::put_array(out, 2);
+            resp::put_bulk(out, &[b"INFO"]);
+            resp::put_bulk(out, &[b"load"]);
+        };
+        let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, self.now, fill);
+        if let Some((link, _)) = begun {
+            let due = Due::Probe(link, backend, self.now);
+            self.timers.push(Reverse((self.now + self.connect_timeout, due)));
+        }
+    }
+
+    // ---- The end ----
+
+    /// Whether all that was taken is answered, and nobody is left who might say more.
+    fn may_exit(&self) -> bool {
+        let Some(since) = self.closing_since else { return false };
+        let silent = self.clients.len() == 0 || self.now > since + LAST_WAIT;
+        silent && self.clients.busy() == 0 && self.requests.values().all(|o| o.over)
+    }
+}
--- /dev/null
+++ b/src/conf.rs
@@ -0,0 +1,226 @@
+//! Reads the settings, as pairs of a path and a value, into [`Settings`]. Both hosts of the module read theirs
+//! here: the simulator's adapter from lines of text, the real ingress from nested JSON that it flattens to the
+//! same paths. Unknown keys are skipped, missing or bad ones named.
+
+use crate::{
+    Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Report, Rules, Settings, SizeMeaning,
+};
+use std::collections::HashMap;
+
+/// The settings as they came: values by path, such as `grades.0.worth`.
+pub struct Conf(HashMap<String, String>);
+
+impl Conf {
+    /// Takes pairs of a path and a value.
+    pub fn new(pairs: impl IntoIterator<Item = (String, String)>) -> Self {
+        Conf(pairs.into_iter().collect())
+    }
+
+    /// Reads lines of the form `path=value`.
+    pub fn from_lines(text: &str) -> Result<Self, String> {
+        let mut map = HashMap::new();
+        for (at, line) in text.lines().enumerate().filter(|(_, line)| !line.is_empty()) {
+            let (key, value) =
+                line.split_once('=').ok_or_else(|| format!("line {} of the settings has no '='", at + 1))?;
+            map.insert(key.to_string(), value.to_string());
+        }
+        Ok(Conf(map))
+    }
+
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("setting {key} is missing"))
+    }
+
+    fn number(&self, key: &str) -> Result<f64, String> {
+        let text = self.text(key)?;
+        match text.parse::<f64>() {
+            Ok(n) if n.is_finite() && n >= 0.0 => Ok(n),
+            _ => Err(format!("setting {key} is not a number from 0 up: {text}")),
+        }
+    }
+
+    fn number_or(&self, key: &str, absent: f64) -> Result<f64, String> {
+        if self.0.contains_key(key) {
+            self.number(key)
+        } else {
+            Ok(absent)
+        }
+    }
+
+    fn whole(&self, key: &str, most: u64) -> Result<u64, String> {
+        let text = self.text(key)?;
+        match text.parse::<u64>() {
+            Ok(n) if n <= most => Ok(n),
+            _ => Err(format!("setting {key} is not a whole number up to {most}: {text}")),
+        }
+    }
+
+    /// The time span at a path.
+    pub fn micros(&self, key: &str) -> Result<Micros, String> {
+        self.whole(key, u64::MAX >> 12)
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        match self.text(key)? {
+            "true" => Ok(true),
+            "false" => Ok(false),
+            other => Err(format!("setting {key} is neither true nor false: {other}")),
+        }
+    }
+
+    /// The length of a list of objects; one item more or fewer than told is an error.
+    fn count(&self, list: &str) -> Result<u64, String> {
+        let count = self.whole(&format!("{list}.count"), 65_535)?;
+        let prefix = format!("{list}.");
+        for key in self.0.keys() {
+            let index = key.strip_prefix(&prefix).and_then(|rest| rest.split('.').next());
+            if index.and_then(|i| i.parse::<u64>().ok()).is_some_and(|i| i >= count) {
+                return Err(format!("setting {list}.count is {count}, but there is {key}"));
+            }
+        }
+        Ok(count)
+    }
+
+    fn class(&self, i: u64) -> Result<Class, String> {
+        let key = |name: &str| format!("grades.{i}.{name}");
+        let repeat = match self.text(&key("effect"))? {
+            "repeatable" => Repeat::Safe,
+            "once" => Repeat::Once,
+            "by_key" => Repeat::Keyed {
+                group: match self.text(&key("group"))? {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    "cell" => Group::Cell,
+                    other => return Err(format!("setting {} is unknown: {other}", key("group"))),
+                },
+                window: self.micros(&key("window_us"))?,
+            },
+            other => return Err(format!("setting {} is unknown: {other}", key("effect"))),
+        };
+        Ok(Class {
+            aim: self.micros(&key("objective_us"))?,
+            aim_stretch: self.number_or(&key("aim_stretch"), 0.0)?,
+            deadline: self.micros(&key("give_up_us"))?,
+            worth: self.number(&key("worth"))?,
+            late_worth: self.number(&key("late_worth"))?,
+            repeat,
+            stream: self.flag(&key("stream"))?,
+        })
+    }
+
+    fn plan(&self, i: u64) -> Result<Plan, String> {
+        let key = |name: &str| format!("contracts.{i}.{name}");
+        Ok(Plan {
+            rate: self.number(&key("quota_rate"))?,
+            burst: self.number(&key("burst"))?,
+            open_cap: self.whole(&key("max_out"), u64::from(u32::MAX))? as u32,
+            ceiling_rate: self.number(&key("never_over_rate"))?,
+            ceiling_burst: self.number(&key("ceiling_burst"))?,
+            ceiling_slack: self.number(&key("ceiling_slack"))?,
+            price: self.number(&key("worth_factor"))?,
+            over_worth: self.number(&key("over_worth"))?,
+            over_cost: self.number(&key("beyond_costs"))?,
+        })
+    }
+
+    /// What the module is told at its start.
+    pub fn settings(&self) -> Result<Settings, String> {
+        let classes = (0..self.count("grades")?).map(|i| self.class(i)).collect::<Result<Vec<_>, _>>()?;
+        let plans = (0..self.count("contracts")?).map(|i| self.plan(i)).collect::<Result<Vec<_>, _>>()?;
+        Ok(Settings {
+            gateways: self.whole("n_instances", 65_535)? as u16,
+            me: GatewayNo(self.whole("slot_no", 65_535)? as u16),
+            zone: self.whole("zone", 255)? as u8,
+            tick: self.micros("tick_us")?,
+            classes,
+            plans,
+            limits: Limits {
+                max_attempts: self.whole("limits.most_tries", u64::from(u32::MAX))? as u32,
+                second_copies: self.flag("limits.second_copies")?,
+                cancel: self.flag("limits.cancelling")?,
+                probes: self.flag("limits.may_probe")?,
+                peers: self.flag("limits.peers")?,
+                peer_in_per_s: self.number("family_info.peer_in_per_s")?,
+                retry_after: self.flag("limits.retry_after")?,
+                max_retry_after: self.micros("limits.max_retry_after_us")?,
+                counter: self.flag("family_info.has_counter")?,
+                max_open: self.whole("limits.max_open", u64::from(u32::MAX))? as u32,
+            },
+            rules: Rules {
+                answer_slack: self.micros("rules.answer_slack_us")?,
+                drain_grace: self.micros("rules.drain_grace_us")?,
+                cold_from: self.number("rules.cold_from")?,
+                cold_time: self.micros("rules.cold_us")?,
+                fall_factor: self.number("rules.overload_factor")?,
+                fall_time: self.micros("rules.fall_us")?,
+                must_ask: self.micros("rules.must_ask_in_us")?,
+            },
+            discovery: match self.text("membership_mode")? {
+                "ask" => Discovery::Ask,
+                "push" => Discovery::Push,
+                other => return Err(format!("setting membership_mode is unknown: {other}")),
+            },
+            sizes: match self.text("weights")? {
+                "none" => SizeMeaning::None,
+                "live" => SizeMeaning::Live,
+                "nominal" | "rough" => SizeMeaning::Capacity,
+                other => return Err(format!("setting weights is unknown: {other}")),
+            },
+            meter_period: self.micros("family_info.meter_period_us")?,
+            post_paid: self.flag("family_info.post_paid")?,
+        })
+    }
+
+    /// The names of the values in a load report, in their order.
+    pub fn report_fields(&self) -> Result<Vec<String>, String> {
+        match self.text("reporting.how")? {
+            "none" => Ok(Vec::new()),
+            _ => self.list("reporting.fields"),
+        }
+    }
+
+    /// A list of plain values.
+    pub fn list(&self, key: &str) -> Result<Vec<String>, String> {
+        Ok(self.text(key)?.split(',').filter(|n| !n.is_empty()).map(String::from).collect())
+    }
+
+    /// The names of the objects in a list, such as the classes in `grades`.
+    pub fn names(&self, list: &str) -> Result<Vec<String>, String> {
+        let name = |i| self.text(&format!("{list}.{i}.name")).map(String::from);
+        (0..self.count(list)?).map(name).collect()
+    }
+}
+
+/// Notes a value of a load report under the name that the settings, or plain words, give it.
+pub fn note_field(report: &mut Report, name: &str, value: Option<f64>) {
+    match name {
+        "concurrent" | "inflight" => report.in_flight = value,
+        "depth" | "queue" => report.queue = value,
+        "load_share" | "util" => report.util = value,
+        "mean_ms" | "latency_ms" => report.latency_ms = value,
+        "tps" | "qps" => report.served = value,
+        "err_ps" | "eps" => report.errors = value,
+        _ => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Conf;
+
+    fn parse(text: &str) -> Result<(), String> {
+        Conf::from_lines(text)?.settings().map(|_| ())
+    }
+
+    #[test]
+    fn names_what_is_missing_or_bad() {
+        let err = parse("grades.count=1\n").unwrap_err();
+        assert!(err.contains("grades.0.effect"), "{err}");
+        let err = parse("grades.count=0\ngrades.0.worth=1\n").unwrap_err();
+        assert!(err.contains("grades.count"), "{err}");
+        let err = parse("nonsense\n").unwrap_err();
+        assert!(err.contains("line 1"), "{err}");
+        let err = parse("grades.count=0\ncontracts.count=1\ncontracts.0.quota_rate=inf\n").unwrap_err();
+        assert!(err.contains("contracts.0.quota_rate"), "{err}");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 //! assert!(actions.is_empty(), "the answer went to the client; nothing is left to do");
 //! ```
 
+pub mod conf;
 mod control;
 mod gossip;
 mod interface;
