--- /dev/null
+++ b/tests/ingress.rs
@@ -0,0 +1,582 @@
+//! The real ingress by its sockets: the built binary between small backends, discovery, peers and clients.
+
+mod support;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+fn refused(answer: &str) -> bool {
+    answer.starts_with("-BUSY")
+}
+
+// ---- Answers ----
+
+#[test]
+fn a_request_goes_on_as_it_came_and_the_value_comes_back_as_it_was_given() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let asked = command(&[
+        "CALL.POST",
+        "00000000b4d65521",
+        "9b1f03aa5c7e2d41",
+        "c=save,t=starter,d=2480,k=5c0f6e1a,r=1,units=2,spread=1,first=0,new=x",
+        "BO\r\nDY",
+    ]);
+    assert_eq!(client.ask(&asked), "value of 9b1f03aa5c7e2d41");
+    let seen = backend.seen.commands.lock().unwrap().clone();
+    let [args] = &seen[..] else { panic!("one attempt: {seen:?}") };
+    assert_eq!(
+        (&args[..3].join(" "), &args[4]),
+        (&"CALL.POST 00000000b4d65521 9b1f03aa5c7e2d41".into(), &"BO\r\nDY".into())
+    );
+    let (before, rest) = args[3].split_once("d=").unwrap();
+    let (wait, after) = rest.split_once(',').unwrap();
+    assert_eq!((before, after), ("c=save,t=starter,", "k=5c0f6e1a,r=1,units=2,spread=1,first=0,new=x"));
+    // It fits the attempt: no longer than the client waits, and not cut to nothing.
+    assert!((2000..=2480).contains(&wait.parse::<u32>().unwrap()), "d={wait}");
+}
+
+#[test]
+fn one_connection_serves_requests_one_after_the_other() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    for n in 0..20 {
+        assert_eq!(client.ask(&call("quote", &format!("q{n}"), 900)), format!("value of q{n}"));
+    }
+    assert_eq!(backend.seen.opened.load(Ordering::SeqCst), 1, "the newest idle connection is used again");
+}
+
+#[test]
+fn beyond_the_quota_a_request_is_refused_at_once_and_told_when_to_come_back() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let mut refusals = Vec::new();
+    for n in 0..12 {
+        let start = Instant::now();
+        let answer = client.ask(&call_of(4711, "quote", &format!("q{n}"), 900));
+        if refused(&answer) {
+            refusals.push((answer, start.elapsed()));
+        }
+    }
+    assert!(refusals.len() >= 3, "a burst of 7 lets 12 through");
+    assert_eq!(backend.count(), 12 - refusals.len(), "what is refused reaches no backend");
+    for (answer, took) in refusals {
+        let pause: u32 = answer.trim_start_matches("-BUSY ").parse().unwrap_or_else(|_| panic!("{answer}"));
+        assert!((1..=2000).contains(&pause) && took < Duration::from_millis(450), "{answer} after {took:?}");
+    }
+}
+
+// ---- Outcomes ----
+
+/// Asks for one request after another until `bad` has had one, and gives the answer to that.
+fn answer_through(ingress: &Ingress, class: &str, had: impl Fn() -> bool) -> String {
+    let mut client = ingress.client();
+    for n in 0..200 {
+        let answer = client.ask(&call(class, &format!("r{n}"), 1500));
+        if had() {
+            return answer;
+        }
+        assert!(answer.starts_with("value of"), "{answer}");
+    }
+    panic!("200 requests passed it by");
+}
+
+/// An unsafe request that a backend was given whole goes to nobody else, whatever becomes of it.
+fn may_have_run(bad: Backend) -> (Backend, String) {
+    let good = Backend::start(serve);
+    let ingress = Setup::of(&[&bad, &good]).start();
+    let answer = answer_through(&ingress, "refer", || bad.count() > 0);
+    let id = bad.seen.commands.lock().unwrap()[0][2].clone();
+    assert!(good.seen.commands.lock().unwrap().iter().all(|c| c[2] != id), "it was sent again");
+    assert_eq!(bad.count(), 1, "it was sent again to the same one");
+    assert!(!refused(&answer), "a refusal says that it is harmless to try again");
+    (bad, answer)
+}
+
+#[test]
+fn an_unsafe_request_with_an_error_answer_has_failed() {
+    assert_eq!(may_have_run(Backend::start(|_| Act::Say(b"-ERR failed\r\n".to_vec()))).1, "-ERR failed");
+}
+
+/// Guards against taking a break behind the last byte for a connection that never was.
+#[test]
+fn an_unsafe_request_cut_after_its_last_byte_has_failed() {
+    assert_eq!(may_have_run(Backend::start(|_| Act::Hang)).1, "-ERR failed");
+}
+
+#[test]
+fn a_garbled_answer_counts_as_a_reset_and_ends_its_connection() {
+    let (bad, answer) = may_have_run(Backend::start(|_| Act::Say(b"*3\r\n$2\r\nvalue\r\n".to_vec())));
+    assert_eq!(answer, "-ERR failed");
+    until("the connection is closed", || bad.seen.ended.load(Ordering::SeqCst) == 1);
+}
+
+#[test]
+fn an_answer_in_another_form_is_no_value() {
+    let (_, answer) = may_have_run(Backend::start(|_| Act::Say(b"*3\r\n$-1\r\n$-1\r\n$-1\r\n".to_vec())));
+    assert_eq!(answer, "-ERR failed");
+}
+
+#[test]
+fn an_unsafe_request_without_an_answer_fails_before_the_client_gives_up() {
+    let silent = Backend::start(|_| Act::Silent);
+    let ingress = Setup::of(&[&silent]).start();
+    let start = Instant::now();
+    assert_eq!(ingress.client().ask(&call("refer", "r1", 1500)), "-ERR failed");
+    let took = start.elapsed();
+    assert!((1400..1500).contains(&(took.as_millis() as u32)), "after {took:?}");
+    assert_eq!(silent.count(), 1);
+    until("the attempt is given up", || silent.seen.ended.load(Ordering::SeqCst) == 1);
+}
+
+/// Requests of a class that must never run twice are all served, though `bad` lets none in. They come at once:
+/// one after the other they would all go to the backend that answers.
+fn never_ran(bad: SocketAddr) -> Duration {
+    let good = Backend::start(|args| Act::Later(Duration::from_millis(30), served(args)));
+    let mut setup = Setup::of(&[&good]);
+    setup.known.push(entry("s-9", bad, "up"));
+    let ingress = setup.start();
+    let mut clients: Vec<Client> = (0..6).map(|_| ingress.client()).collect();
+    let start = Instant::now();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&call("refer", &format!("r{n}"), 4000));
+    }
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.answer(), format!("value of r{n}"));
+    }
+    start.elapsed()
+}
+
+#[test]
+fn an_unsafe_request_turned_away_is_sent_elsewhere() {
+    let bad = Backend::start(|_| Act::Say(b"-BUSY util=0.99\r\n".to_vec()));
+    never_ran(bad.at);
+    assert!(bad.count() > 0, "it was never tried");
+}
+
+#[test]
+fn an_unsafe_request_to_a_closed_port_is_sent_elsewhere() {
+    never_ran(place());
+}
+
+/// Guards against waiting for a connection for as long as for an answer: a machine that is cut off says nothing.
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time() {
+    let silent = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    silent.bind(&place().into()).unwrap();
+    silent.listen(0).unwrap();
+    let at = silent.local_addr().unwrap().as_socket().unwrap();
+    // What the line holds is taken; the kernel drops whatever comes then.
+    let line: Vec<_> = (0..4)
+        .map(|_| {
+            let one = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            one.set_nonblocking(true).unwrap();
+            let _ = one.connect(&at.into());
+            one
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(50));
+    let longest = never_ran(at);
+    assert!(longest >= Duration::from_millis(250), "it was never tried, or not waited for: {longest:?}");
+    drop(line);
+}
+
+/// Guards against calling an attempt off on a connection that goes on: the second copy's answer is the answer.
+#[test]
+fn a_safe_request_gets_a_second_copy_and_the_first_is_called_off() {
+    let slow = Backend::start(|args| Act::Later(Duration::from_millis(5000), served(args)));
+    let good = Backend::start(serve);
+    let ingress = Setup::of(&[&slow, &good]).start();
+    let answer = answer_through(&ingress, "quote", || slow.count() > 0);
+    assert!(answer.starts_with("value of"), "{answer}");
+    let id = slow.seen.commands.lock().unwrap()[0][2].clone();
+    assert!(good.seen.commands.lock().unwrap().iter().any(|c| c[2] == id));
+    until("the first copy is called off", || slow.seen.ended.load(Ordering::SeqCst) == 1);
+}
+
+/// Guards against keeping connections that the backend has ended: what is written to one may have run.
+#[test]
+fn connections_that_a_backend_ended_are_not_used_again() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    for n in 0..5 {
+        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
+        backend.seen.hang_up.store(true, Ordering::SeqCst);
+        until("the backend hangs up", || backend.seen.ended.load(Ordering::SeqCst) == n + 1);
+        backend.seen.hang_up.store(false, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert_eq!(backend.count(), 5);
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_backend_does() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    setup.settings = setup.settings.replace("15000000", "1000000");
+    let ingress = setup.start();
+    assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
+    until("it is closed", || backend.seen.ended.load(Ordering::SeqCst) == 1);
+}
+
+// ---- Clients ----
+
+#[test]
+fn a_request_whose_client_has_gone_is_called_off() {
+    let slow = Backend::start(|args| Act::Later(Duration::from_millis(300), served(args)));
+    let ingress = Setup::of(&[&slow]).start();
+    let mut client = ingress.client();
+    client.send(&call("refer", "r1", 5000));
+    until("it is sent", || slow.count() == 1);
+    leave(client);
+    until("it is called off", || slow.seen.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(ingress.client().ask(&call("refer", "r2", 5000)), "value of r2");
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_their_order() {
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "s" => Act::Later(Duration::from_millis(150), served(args)),
+        _ => serve(args),
+    });
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let bad = command(&["GET", "x"]);
+    client.send(&[call("save", "s1", 2000), call("quote", "q2", 900), bad, command(&["PING"])].concat());
+    let answers: Vec<String> = (0..4).map(|_| client.answer()).collect();
+    assert_eq!(answers, ["value of s1", "value of q2", "-ERR unknown command", "+PONG"]);
+    // More than one connection's line holds: nothing is lost, nothing is out of order.
+    let pings = 2000;
+    client.send(&command(&["PING"]).repeat(pings));
+    client.send(&call("quote", "q3", 900));
+    (0..pings).for_each(|_| assert_eq!(client.answer(), "+PONG"));
+    assert_eq!(client.answer(), "value of q3");
+}
+
+/// Guards against a line that stops for good once it is full: requests then wait in the kernel, untold of.
+#[test]
+fn a_long_line_of_requests_is_read_to_its_end() {
+    let slow = Backend::start(|args| Act::Later(Duration::from_millis(5), served(args)));
+    let ingress = Setup::of(&[&slow]).start();
+    let mut client = ingress.client();
+    let requests: Vec<u8> = (0..600).flat_map(|n| call("save", &format!("s{n}"), 3000)).collect();
+    client.send(&requests);
+    for n in 0..600 {
+        let answer = client.answer();
+        assert!(answer == format!("value of s{n}") || answer.starts_with('-'), "{n}: {answer:?}");
+    }
+    assert_eq!(client.ask(&command(&["PING"])), "+PONG");
+}
+
+#[test]
+fn a_request_that_comes_byte_by_byte_is_served() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    for byte in call("save", "s1", 2500) {
+        client.send(&[byte]);
+        thread::sleep(Duration::from_micros(200));
+    }
+    assert_eq!(client.answer(), "value of s1");
+}
+
+#[test]
+fn a_bad_request_gets_an_error_and_the_connection_goes_on() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let good = String::from_utf8(call("quote", "q1", 900)).unwrap();
+    for (from, to) in [
+        ("c=quote", "c=quota"),
+        ("t=starter", "t=stopper"),
+        ("d=900", "d=9x0"),
+        ("units=1", "units=x"),
+        ("first=0", "fifth=0"),
+        ("CALL.GET", "CALL.PUT"),
+    ] {
+        let answer = client.ask(good.replace(from, to).as_bytes());
+        assert!(answer.starts_with("-ERR"), "{to}: {answer}");
+    }
+    assert_eq!(client.ask(&call("quote", "q2", 900)), "value of q2");
+    assert_eq!(backend.count(), 1, "nothing bad reaches a backend");
+}
+
+#[test]
+fn malformed_input_gets_an_error_and_a_close_behind_what_was_asked_before() {
+    let backend = Backend::start(|args| Act::Later(Duration::from_millis(100), served(args)));
+    let ingress = Setup::of(&[&backend]).start();
+    for bad in
+        ["PING\r\n", "*1\r\n$70000\r\n", "*2000000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx", "\0\0\0"]
+    {
+        let mut client = ingress.client();
+        client.send(&call("quote", "q1", 900));
+        // What follows is more than the kernel would forgive at a close with unread bytes.
+        client.send(&[bad.as_bytes(), &[b'x'; 40_000]].concat());
+        assert_eq!(client.answer(), "value of q1", "{bad:?}");
+        assert!(client.answer().starts_with("-ERR protocol error"), "{bad:?}");
+        assert!(client.ended(), "{bad:?}");
+    }
+    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+}
+
+// ---- Discovery ----
+
+#[test]
+fn a_backend_that_drains_gets_nothing_new() {
+    let (one, two, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
+    let mut setup = Setup::of(&[&one, &two]);
+    setup.discovery = Some(discovery.at);
+    let ingress = setup.start();
+    answer_through(&ingress, "quote", || one.count() > 0 && two.count() > 0);
+    discovery.tell(one.entry("s-0", "draining"));
+    let before = one.count();
+    let mut client = ingress.client();
+    for n in 0..50 {
+        assert_eq!(client.ask(&call("refer", &format!("d{n}"), 2000)), format!("value of d{n}"));
+    }
+    assert_eq!(one.count(), before);
+    until("its idle connections are closed", || {
+        one.seen.ended.load(Ordering::SeqCst) == one.seen.opened.load(Ordering::SeqCst)
+    });
+    discovery.tell(one.entry("s-0", "up"));
+    answer_through(&ingress, "quote", || one.count() > before);
+}
+
+#[test]
+fn a_backend_that_moved_is_found_at_its_new_address() {
+    let (old, new, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
+    let mut setup = Setup::of(&[&old]);
+    setup.discovery = Some(discovery.at);
+    let ingress = setup.start();
+    assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "value of r1");
+    discovery.tell(new.entry("s-0", "up"));
+    until("the old connection is closed", || old.seen.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(ingress.client().ask(&call("refer", "r2", 2000)), "value of r2");
+    assert_eq!((old.count(), new.count()), (1, 1));
+}
+
+/// Without discovery the list stays as it is; once it is back, what changed meanwhile is heard.
+fn survives(fail: impl Fn(&Discovery, bool)) {
+    let (one, two, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
+    let mut setup = Setup::of(&[&one]);
+    setup.discovery = Some(discovery.at);
+    let ingress = setup.start();
+    until("the watch begins", || discovery.calls.load(Ordering::SeqCst) > 0);
+    fail(&discovery, true);
+    discovery.change(two.entry("s-1", "up"));
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "value of r1");
+    assert_eq!(two.count(), 0, "nobody can have told of it");
+    let busy = ingress.cpu();
+    thread::sleep(Duration::from_millis(1000));
+    assert!(ingress.cpu() - busy < 50, "it is busy with asking");
+    fail(&discovery, false);
+    answer_through(&ingress, "quote", || {
+        two.count() > 0 || (thread::sleep(Duration::from_millis(50)), false).1
+    });
+}
+
+#[test]
+fn discovery_lost_and_back() {
+    survives(Discovery::down);
+}
+
+#[test]
+fn discovery_silent_and_back() {
+    survives(Discovery::silence);
+}
+
+// ---- The end ----
+
+#[test]
+fn told_to_stop_it_serves_all_that_was_taken_and_those_who_still_come() {
+    let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
+    let mut ingress = Setup::of(&[&backend]).start();
+    let idle = ingress.client();
+    let mut taken: Vec<Client> = (0..8).map(|_| ingress.client()).collect();
+    for (n, client) in taken.iter_mut().enumerate().take(4) {
+        client.send(&call("refer", &format!("r{n}"), 2500));
+    }
+    until("they are with the backend", || backend.count() == 4);
+    let start = Instant::now();
+    ingress.signal("TERM");
+    for (n, client) in taken.iter_mut().enumerate().skip(4) {
+        client.send(&call("refer", &format!("r{n}"), 2500));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let mut late = ingress.client();
+    assert_eq!(late.ask(&command(&["PING"])), "+PONG");
+    late.send(&call("refer", "late", 2500));
+    for (n, client) in taken.iter_mut().enumerate() {
+        assert_eq!(client.answer(), format!("value of r{n}"));
+    }
+    assert_eq!(late.answer(), "value of late");
+    assert!(late.ended() && Client(idle.0).ended(), "connections are closed between requests");
+    assert_eq!(ingress.exit().code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs(3), "SIGKILL may come 3.7 s after SIGTERM");
+    assert!(!ingress.log().contains("panicked"));
+}
+
+/// A client that never ends its request must not keep a stopping ingress.
+#[test]
+fn half_a_request_does_not_hold_up_the_end() {
+    let mut ingress = Setup::of(&[]).start();
+    let mut client = ingress.client();
+    client.send(b"*4\r\n$8\r\nCALL");
+    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+    ingress.signal("TERM");
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
+// ---- Limits ----
+
+/// More clients than descriptors: idle ones make room, and everyone who asks is answered.
+fn crowd(setup: &Setup) {
+    let ingress = setup.start();
+    let mut clients: Vec<Client> = Vec::new();
+    for n in 0..80 {
+        let mut client = ingress.client();
+        assert_eq!(client.ask(&command(&["PING"])), "+PONG", "client {n}");
+        clients.push(client);
+    }
+    let mut last = clients.pop().unwrap();
+    assert_eq!(last.ask(&call("refer", "r1", 3000)), "value of r1");
+    assert!(clients[0].ended(), "the one that was idle for longest made room");
+    let open = std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count();
+    assert!(open <= setup.sockets, "{open} descriptors");
+    let before = ingress.cpu();
+    thread::sleep(Duration::from_millis(1000));
+    assert!(ingress.cpu() - before < 50, "it spins");
+}
+
+#[test]
+fn the_budget_of_descriptors_is_kept() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    setup.sockets = 64;
+    crowd(&setup);
+}
+
+/// Guards against a limit of the system's that is lower than the one told: EMFILE at each accept.
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    setup.ulimit = Some(40);
+    crowd(&setup);
+}
+
+/// Guards against clients that hang, accepted by the kernel and by nobody else, while all places are busy.
+#[test]
+fn with_all_places_busy_one_more_is_told_so() {
+    let slow = Backend::start(|_| Act::Silent);
+    let mut setup = Setup::of(&[&slow]);
+    setup.sockets = 64;
+    let ingress = setup.start();
+    let mut busy: Vec<Client> = (0..27).map(|_| ingress.client()).collect();
+    for (n, client) in busy.iter_mut().enumerate() {
+        client.send(&[&call("refer", &format!("r{n}"), 8000)[..], b"*1\r\n"].concat());
+    }
+    until("they are with the backend", || slow.count() > 3);
+    let start = Instant::now();
+    assert!(refused(&ingress.client().ask(&call("refer", "r99", 8000))));
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
+// ---- Peers ----
+
+#[test]
+fn peers_are_known_by_their_address_and_told_in_short() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    let udp = || {
+        let socket = UdpSocket::bind(place()).unwrap();
+        socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        socket
+    };
+    let (peer, stranger, own) = (udp(), udp(), place());
+    setup.settings =
+        setup.settings.replace("\"may_probe\":true,\"peers\":false", "\"may_probe\":true,\"peers\":true");
+    setup.settings = setup.settings.replace("\"n_instances\":1", "\"n_instances\":2");
+    setup.more = format!(
+        r#""peer_listen":"{own}","peers":["{own}","{}"],"peers_all":"{}","#,
+        peer.local_addr().unwrap(),
+        peer.local_addr().unwrap()
+    );
+    let ingress = setup.start();
+    let hear = |socket: &UdpSocket| {
+        let mut buf = [0; 2000];
+        socket.recv_from(&mut buf).ok().map(|(n, from)| {
+            assert!(from == own && n <= 256, "{n} bytes from {from}");
+            buf[..n].to_vec()
+        })
+    };
+    // A request of a customer with both for gateways: its use is told to the other one.
+    let mut client = ingress.client();
+    let asked = String::from_utf8(call("quote", "q1", 900)).unwrap().replace("spread=1", "spread=2");
+    let start = Instant::now();
+    client.send(asked.as_bytes());
+    let mut told = None;
+    until("the peer is told", || {
+        told = hear(&peer).filter(|m| m[1] & 3 == 0 && m[8] > 0);
+        told.is_some() || start.elapsed() > LONG
+    });
+    assert_eq!(client.answer(), "value of q1");
+    // The same message, asking for news, brings an answer if it comes from the peer, and only then.
+    let mut question = told.unwrap();
+    let first = 9 + 4 * usize::from(question[1] >> 2);
+    question[first + 8] |= 2;
+    let answered = |from: &UdpSocket, bytes: &[u8]| {
+        from.send_to(bytes, own).unwrap();
+        (0..5).filter_map(|_| hear(&peer)).any(|m| m[1] & 3 == 1)
+    };
+    while hear(&peer).is_some() {}
+    assert!(!answered(&stranger, &question), "a stranger was believed");
+    assert!(!answered(&peer, &question[..question.len() - 1]), "half a message was believed");
+    assert!(!answered(&peer, &[&question[..], &[0; 1000]].concat()), "a long message was believed");
+    assert!(answered(&peer, &question), "the peer was not heard");
+    assert_eq!(client.ask(&call("quote", "q2", 900)), "value of q2");
+}
+
+// ---- The start ----
+
+/// The command in deploy/balancer.toml; `.ci/run` hands it in.
+#[test]
+#[ignore = "wants the command in WRENFORK_RUN"]
+fn the_deploy_command_starts() {
+    let command = std::env::var("WRENFORK_RUN").expect("WRENFORK_RUN is the command");
+    let backend = Backend::start(serve);
+    let mut ingress = Setup::of(&[&backend]).start_with(&command);
+    assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
+    ingress.signal("TERM");
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_is_told_by_its_key() {
+    let at = place();
+    let good = Setup::of(&[]).config(at);
+    for (from, to, key) in [
+        ("\"quota_rate\":1.5", "\"quota_rate\":\"much\"", "contracts.0.quota_rate"),
+        ("\"tick_us\":4000,", "", "tick_us"),
+        ("\"seed\":\"8c", "\"seed\":\"x", "seed"),
+        ("\"sockets\":1024", "\"sockets\":3", "limits.sockets"),
+        ("\"memory_mb\":192", "\"memory_mb\":-1", "limits.memory_mb"),
+        ("\"listen\":\"", "\"listen\":\"x", "listen"),
+        ("\"known\":{\"index\":1,", "\"known\":{", "known"),
+        ("\"peers\":false", "\"peers\":true", "peers"),
+        ("{", "", "JSON"),
+    ] {
+        let mut ingress = Ingress::run(&good.replacen(from, to, 1), at, &own_program());
+        assert_eq!(ingress.exit().code(), Some(1), "{key}");
+        let log = ingress.log();
+        assert!(log.contains(key) && log.lines().count() == 1, "{key}: {log}");
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,469 @@
+//! What the ingress meets in service, in small: clients, backends and discovery on loopback sockets. Each test has
+//! a loopback address of its own, so that no other test can be in the way.
+#![allow(missing_docs, dead_code)]
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long anything that must come is waited for.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub fn until(what: &str, mut ready: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !ready() {
+        assert!(start.elapsed() < LONG, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A free port at an address that only this test has.
+pub fn place() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let ip =
+        std::net::Ipv4Addr::new(127, 1 + (pid % 250) as u8, (pid / 250 % 250) as u8, (n % 250) as u8 + 1);
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+}
+
+// ---- RESP2, from the other side ----
+
+pub fn command(parts: &[&str]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", parts.len());
+    parts.iter().for_each(|p| out += &format!("${}\r\n{p}\r\n", p.len()));
+    out.into_bytes()
+}
+
+/// Reads one RESP2 value, flattened to its texts; none where the connection ends first.
+pub fn read_value(stream: &mut impl Read) -> Option<Vec<String>> {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        line.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&line[..line.len() - 2]).into_owned();
+    match (&text[..1], text[1..].parse::<i64>()) {
+        ("*", Ok(n)) => (0..n).map(|_| read_value(stream)).collect::<Option<Vec<_>>>().map(|v| v.concat()),
+        ("$", Ok(n)) if n >= 0 => {
+            let mut body = vec![0; n as usize + 2];
+            stream.read_exact(&mut body).ok()?;
+            Some(vec![String::from_utf8_lossy(&body[..n as usize]).into_owned()])
+        }
+        _ => Some(vec![text]),
+    }
+}
+
+/// A client's connection.
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Client {
+        let stream = TcpStream::connect(to).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Client(stream)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    /// The next answer's text; empty where the connection ended.
+    pub fn answer(&mut self) -> String {
+        read_value(&mut self.0).map_or(String::new(), |v| v.concat())
+    }
+
+    pub fn ask(&mut self, bytes: &[u8]) -> String {
+        self.send(bytes);
+        self.answer()
+    }
+
+    /// Whether the other side ends the connection, with nothing said before.
+    pub fn ended(&mut self) -> bool {
+        match self.0.read(&mut [0; 64]) {
+            Ok(n) => n == 0,
+            Err(e) => matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+        }
+    }
+}
+
+/// A request of a customer that nobody else has asked for.
+pub fn call(class: &str, id: &str, wait_ms: u32) -> Vec<u8> {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    call_of(NEXT.fetch_add(1, Ordering::Relaxed), class, id, wait_ms)
+}
+
+pub fn call_of(customer: usize, class: &str, id: &str, wait_ms: u32) -> Vec<u8> {
+    let customer = format!("{customer:016x}");
+    let options = |key: &str| format!("c={class},t=starter,d={wait_ms}{key},units=1,spread=1,first=0");
+    match class {
+        "quote" => command(&["CALL.GET", &customer, id, &options("")]),
+        "save" => command(&["CALL.POST", &customer, id, &options(",k=00ff"), "BODY"]),
+        _ => command(&["CALL.POST", &customer, id, &options(""), "BODY"]),
+    }
+}
+
+// ---- Backends ----
+
+/// What a backend does with a command.
+pub enum Act {
+    Say(Vec<u8>),
+    Later(Duration, Vec<u8>),
+    Silent,
+    /// Ends the connection.
+    Hang,
+}
+
+/// What a backend that works answers: the request's id as the value.
+pub fn serve(args: &[String]) -> Act {
+    Act::Say(served(args))
+}
+
+pub fn served(args: &[String]) -> Vec<u8> {
+    let value = format!("value of {}", args[2]);
+    format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$9\r\nutil=0.25\r\n", value.len()).into_bytes()
+}
+
+#[derive(Default)]
+pub struct Seen {
+    pub commands: Mutex<Vec<Vec<String>>>,
+    pub opened: AtomicUsize,
+    pub ended: AtomicUsize,
+    /// Closes all connections that have nothing to do.
+    pub hang_up: AtomicBool,
+}
+
+pub struct Backend {
+    pub at: SocketAddr,
+    pub seen: Arc<Seen>,
+}
+
+impl Backend {
+    pub fn start(act: impl Fn(&[String]) -> Act + Send + Sync + 'static) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (at, seen, act) = (listener.local_addr().unwrap(), Arc::new(Seen::default()), Arc::new(act));
+        let shared = seen.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (seen, act) = (shared.clone(), act.clone());
+                seen.opened.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    Self::talk(stream, &seen, &*act);
+                    seen.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Backend { at, seen }
+    }
+
+    fn talk(mut stream: TcpStream, seen: &Seen, act: &dyn Fn(&[String]) -> Act) {
+        let _ = stream.set_nodelay(true);
+        loop {
+            stream.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
+            match stream.peek(&mut [0]) {
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    if seen.hang_up.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    continue;
+                }
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+            stream.set_read_timeout(None).unwrap();
+            let Some(args) = read_value(&mut stream) else { return };
+            seen.commands.lock().unwrap().push(args.clone());
+            let said = match act(&args) {
+                Act::Say(bytes) => stream.write_all(&bytes),
+                Act::Later(pause, bytes) => {
+                    thread::sleep(pause);
+                    stream.write_all(&bytes)
+                }
+                Act::Silent => Ok(()),
+                Act::Hang => return,
+            };
+            if said.is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.commands.lock().unwrap().len()
+    }
+
+    pub fn entry(&self, name: &str, status: &str) -> String {
+        entry(name, self.at, status)
+    }
+}
+
+pub fn entry(name: &str, at: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{at}","zone":"hall-a","type":"std-3c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+pub fn list(index: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+// ---- Discovery ----
+
+#[derive(Default)]
+struct Told {
+    /// What was told, in order; the index is the place in it plus 2.
+    changes: Vec<String>,
+    /// The index that the latest call was for.
+    since: u64,
+}
+
+/// Answers watches from a list that begins at index 1; silent or gone as told.
+pub struct Discovery {
+    pub at: SocketAddr,
+    told: Arc<Mutex<Told>>,
+    silent: Arc<AtomicBool>,
+    /// Ends connections and takes no new ones.
+    down: Arc<AtomicBool>,
+    pub calls: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let d = Discovery {
+            at: listener.local_addr().unwrap(),
+            told: Arc::default(),
+            silent: Arc::default(),
+            down: Arc::default(),
+            calls: Arc::default(),
+        };
+        let (told, silent, down, calls) = (d.told.clone(), d.silent.clone(), d.down.clone(), d.calls.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (told, silent, down, calls) = (told.clone(), silent.clone(), down.clone(), calls.clone());
+                thread::spawn(move || Self::talk(stream, &told, &silent, &down, &calls));
+            }
+        });
+        d
+    }
+
+    fn talk(
+        mut stream: TcpStream,
+        told: &Mutex<Told>,
+        silent: &AtomicBool,
+        down: &AtomicBool,
+        calls: &AtomicUsize,
+    ) {
+        let mut head = Vec::new();
+        loop {
+            let mut chunk = [0; 1024];
+            while !head.ends_with(b"\r\n\r\n") {
+                match stream.read(&mut chunk) {
+                    Ok(n) if n > 0 && !down.load(Ordering::SeqCst) => head.extend_from_slice(&chunk[..n]),
+                    _ => return,
+                }
+            }
+            let text = String::from_utf8(std::mem::take(&mut head)).unwrap();
+            let number = |name: &str| {
+                let rest = text.split(name).nth(1).unwrap_or("0");
+                rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u64>().unwrap()
+            };
+            assert!(text.starts_with("GET /v1/endpoints?since="), "{text}");
+            let (since, end) =
+                (number("since="), Instant::now() + Duration::from_millis(number("timeout_ms=")));
+            calls.fetch_add(1, Ordering::SeqCst);
+            told.lock().unwrap().since = since;
+            let body = loop {
+                if down.load(Ordering::SeqCst) {
+                    return;
+                }
+                let told = told.lock().unwrap();
+                let news = told.changes.len() as u64 + 1;
+                if !silent.load(Ordering::SeqCst) {
+                    if news > since {
+                        break list(news, false, &told.changes[since as usize - 1..]);
+                    } else if Instant::now() > end {
+                        break list(since, false, &[]);
+                    }
+                }
+                drop(told);
+                thread::sleep(Duration::from_millis(5));
+            };
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Changes an entry, and waits until the ingress has been told and asks for what is newer.
+    pub fn tell(&self, entry: String) {
+        let index = self.change(entry);
+        until("the ingress asks for newer", || self.told.lock().unwrap().since == index);
+    }
+
+    /// Changes an entry, whether or not the ingress hears of it.
+    pub fn change(&self, entry: String) -> u64 {
+        let mut told = self.told.lock().unwrap();
+        told.changes.push(entry);
+        told.changes.len() as u64 + 1
+    }
+
+    pub fn silence(&self, on: bool) {
+        self.silent.store(on, Ordering::SeqCst);
+    }
+
+    pub fn down(&self, on: bool) {
+        self.down.store(on, Ordering::SeqCst);
+    }
+}
+
+// ---- The ingress ----
+
+/// The settings of a site in small; words in it can be replaced.
+pub const SETTINGS: &str = r#"{
+ "n_instances":1,"slot_no":0,"zone":0,"tick_us":4000,"zones":["hall-a","hall-b"],"skus":["std-3c","small-2c"],
+ "grades":[
+  {"name":"quote","effect":"repeatable","group":"all","window_us":5000000,"objective_us":400000,
+   "give_up_us":1000000,"worth":2.0,"late_worth":0.0,"stream":false},
+  {"name":"save","effect":"by_key","group":"cell","window_us":3000000,"objective_us":1200000,
+   "give_up_us":3000000,"worth":2.0,"late_worth":0.2,"stream":false},
+  {"name":"refer","effect":"once","group":"all","window_us":5000000,"objective_us":2000000,
+   "give_up_us":8000000,"worth":3.0,"late_worth":0.0,"stream":false}],
+ "contracts":[
+  {"name":"starter","quota_rate":1.5,"burst":7.0,"max_out":0,"never_over_rate":0.0,"ceiling_burst":0.0,
+   "ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}],
+ "limits":{"most_tries":3,"second_copies":true,"cancelling":true,"may_probe":true,"peers":PEERS,
+  "retry_after":true,"max_retry_after_us":2000000,"max_open":20000,"connect_timeout_us":250000,
+  "keepalive_us":15000000},
+ "family_info":{"peer_in_per_s":40.0,"has_counter":false,"meter_period_us":0,"post_paid":false},
+ "rules":{"answer_slack_us":16000,"drain_grace_us":1000000,"cold_from":0.28,"cold_us":16000000,
+  "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
+ "membership_mode":"push","weights":"nominal","reporting":{"how":"answers","fields":["load_share"]}}"#;
+
+pub struct Setup {
+    pub known: Vec<String>,
+    pub discovery: Option<SocketAddr>,
+    pub sockets: usize,
+    /// A limit of the system's own, in place of the one that the configuration tells.
+    pub ulimit: Option<usize>,
+    pub settings: String,
+    /// More keys of the configuration.
+    pub more: String,
+}
+
+impl Setup {
+    pub fn of(backends: &[&Backend]) -> Setup {
+        let known = backends.iter().enumerate().map(|(n, b)| b.entry(&format!("s-{n}"), "up")).collect();
+        let settings = SETTINGS.replace("PEERS", "false");
+        Setup { known, discovery: None, sockets: 1024, ulimit: None, settings, more: String::new() }
+    }
+
+    pub fn config(&self, at: SocketAddr) -> String {
+        let discovery = self.discovery.unwrap_or_else(|| "127.0.0.1:1".parse().unwrap());
+        format!(
+            r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{}
+ "known":{},"settings":{}}}"#,
+            self.sockets,
+            self.more,
+            list(1, true, &self.known),
+            self.settings
+        )
+    }
+
+    pub fn start(&self) -> Ingress {
+        let limit = self.ulimit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        self.start_with(&(limit + &own_program()))
+    }
+
+    /// Starts an ingress by a shell command.
+    pub fn start_with(&self, program: &str) -> Ingress {
+        let at = place();
+        let ingress = Ingress::run(&self.config(at), at, program);
+        until("the ingress is ready", || {
+            TcpStream::connect(at).is_ok_and(|stream| Client(stream).ask(&command(&["PING"])) == "+PONG")
+        });
+        ingress
+    }
+}
+
+/// The shell command for the program as it was built for the tests.
+pub fn own_program() -> String {
+    format!("exec '{}'", env!("CARGO_BIN_EXE_wrenfork"))
+}
+
+pub struct Ingress {
+    pub at: SocketAddr,
+    pub child: Child,
+    file: PathBuf,
+}
+
+impl Ingress {
+    pub fn run(config: &str, at: SocketAddr, program: &str) -> Ingress {
+        let file = std::env::temp_dir().join(format!("wrenfork-{}-{at}.json", std::process::id()));
+        std::fs::write(&file, config).unwrap();
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", program]).env("LB_CONFIG", &file);
+        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        Ingress { at, child, file }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.at)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("/bin/sh")
+            .args(["-c", &format!("kill -{name} {id}")])
+            .status()
+            .unwrap()
+            .success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the ingress ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    /// Its log, once it has ended.
+    pub fn log(&mut self) -> String {
+        let mut text = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        text
+    }
+
+    /// Processor time used so far, in hundredths of a second.
+    pub fn cpu(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+}
+
+impl Drop for Ingress {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Ends a client's sending and reading.
+pub fn leave(client: Client) {
+    let _ = client.0.shutdown(Shutdown::Both);
+}
