--- a/src/bin/wrenfork/config.rs
+++ b/src/bin/wrenfork/config.rs
@@ -70,8 +70,15 @@
 }
 
 impl Config {
-    /// Reads the file's text; `var` looks up the environment, whose addresses come before the file's.
-    pub fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    /// Reads the file at a path; `var` looks up the environment, whose addresses come before the file's.
+    pub fn read(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let file =
+            std::fs::read_to_string(path).map_err(|e| format!("LB_CONFIG: cannot read {path}: {e}"))?;
+        Config::parse(&file, var).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads the file's text; `var` looks up the environment.
+    fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let json: Value = serde_json::from_str(file).map_err(|e| format!("the file is no JSON: {e}"))?;
         let place = |name: &str, key: &str| match var(name) {
             Some(text) => address(&text, name),
--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -144,6 +144,14 @@
         }
     }
 
+    /// Goes on at another address: it is asked for its whole list at once, whatever the old one still owed and
+    /// however long a failure was to be waited out.
+    pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
+        (self.stream, self.called, self.index) = (None, None, None);
+        self.buf.clear();
+        (self.address, self.wake_at, self.pause) = (address, now, PAUSES.0);
+    }
+
     /// Asks for the whole list with the next call.
     pub fn fetch_whole(&mut self) {
         self.index = None;
@@ -184,7 +192,8 @@
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
-        self.wake_at = now + WAIT + PATIENCE;
+        // A call for the whole list does not wait for news.
+        self.wake_at = now + PATIENCE + if self.index.is_some() { WAIT } else { 0 };
         self.write(now)
     }
 
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -8,13 +8,14 @@
 use crate::config::Config;
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
+use crate::reload::Reload;
 use crate::resp;
 use chalkgap::{
     Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
 };
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -86,6 +87,8 @@
     Probe(Link, BackendId, Micros),
     Sweep,
     Accept,
+    /// The configuration is to be read again.
+    Reload,
     /// The time of accepting while stopping is over.
     Close,
 }
@@ -129,6 +132,7 @@
     clients: Clients,
     backends: Backends,
     watch: Watch,
+    reload: Reload,
     peers: Option<Peers>,
     signals: Signals,
     requests: HashMap<RequestId, Open>,
@@ -164,15 +168,19 @@
     }
 }
 
+/// Takes the signals that the loop heeds.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot take signals: {e}"))
+}
+
 impl Ingress {
     /// Opens the sockets. From here on clients may come; they are served once [`Ingress::run`] runs.
-    pub fn start(config: Config) -> Result<Self, String> {
+    pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, String> {
         let failed = |what: &str, e: io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
         let registry = poll.registry();
         let mut listener = TcpListener::bind(config.listen)
             .map_err(|e| failed(&format!("listen: cannot listen at {}", config.listen), e))?;
-        let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| failed("cannot take signals", e))?;
         let registered = registry
             .register(&mut listener, LISTENER, Interest::READABLE)
             .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
@@ -202,6 +210,7 @@
             clients: Clients::new(listener, config.vocabulary, |key| Token(FIRST + 2 * key)),
             backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
+            reload,
             peers,
             signals,
             requests: HashMap::new(),
@@ -327,12 +336,27 @@
     }
 
     fn take_signals(&mut self) {
-        if self.signals.pending().next().is_some() && !std::mem::replace(&mut self.stopping, true) {
+        // All that came since the last look, several of one kind as one.
+        let came: Vec<i32> = self.signals.pending().collect();
+        if came.contains(&SIGHUP) {
+            self.reload.asked();
+            self.reload();
+        }
+        if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
             crate::log("stopping: answering what has been taken");
             self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
         }
     }
 
+    /// Reads the configuration again and moves the watch to where it says, or tries that again later.
+    fn reload(&mut self) {
+        match self.reload.read(self.now) {
+            Ok(discovery) => self.watch.move_to(discovery, self.now),
+            Err(Some(at)) => self.timers.push(Reverse((at, Due::Reload))),
+            Err(None) => {}
+        }
+    }
+
     /// The descriptors in use, and whether one more may be taken.
     fn full(&self) -> bool {
         self.clients.len() + self.backends.len() >= self.sockets
@@ -421,6 +445,7 @@
                     self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
                 }
                 Due::Accept => self.accept(),
+                Due::Reload => self.reload(),
                 Due::Close => {
                     self.accept(); // those that the kernel took in meanwhile are ours as well
                     self.closing_since = Some(self.now);
--- a/src/bin/wrenfork/main.rs
+++ b/src/bin/wrenfork/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod ingress;
 mod peers;
+mod reload;
 mod resp;
 
 use std::io::Write;
@@ -20,9 +21,10 @@
 fn run() -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
-    let file = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: cannot read {path}: {e}"))?;
-    let config = config::Config::parse(&file, var).map_err(|e| format!("{path}: {e}"))?;
-    ingress::Ingress::start(config)?.run()
+    // From here on no signal ends the process: one that comes while it starts is taken up by the loop.
+    let signals = ingress::signals()?;
+    let config = config::Config::read(&path, var)?;
+    ingress::Ingress::start(config, reload::Reload::new(path), signals)?.run()
 }
 
 fn main() -> ExitCode {
