--- a/src/control.rs
+++ b/src/control.rs
@@ -38,6 +38,7 @@
 const FRESH: Micros = 100_000; // age up to which a home's news need not be asked again; longest wait for it
 const POOLED: f64 = 0.5; // part of a ceiling that lies with two gateways, who hand it out on demand
 const GIFT_LIFE: Micros = 250_000; // ceiling units that come later than this after the asking lapse
+const TOGETHER: u32 = 1500; // gateways that start within so many milliseconds of each other start a fleet
 const TELLINGS: u8 = 3; // messages that carry an answer's lesson
 
 impl Health {
@@ -203,32 +204,30 @@
         self.give_up(id, act);
     }
 
-    /// A request is held no longer; what was granted for the last one lapses with it.
-    fn let_go(&mut self, customer: CustomerId, id: RequestId, held: bool) {
-        if let Some(c) = self.customers.get_mut(&customer).filter(|_| held) {
-            c.held.retain(|h| *h != id);
-            if c.held.is_empty() {
-                c.granted = 0.0;
-            }
-        }
-    }
-
     fn refuse(&self, id: RequestId, pause: Micros, act: &mut Vec<Action>) {
         let most = if self.s.limits.retry_after { self.s.limits.max_retry_after } else { 0 };
         act.push(Action::Refuse { id, pause: pause.min(most) });
     }
 
+    /// Seconds for which use has been known here: since this start, or for ever.
+    fn life(&self) -> f64 {
+        if self.young {
+            return f64::MAX;
+        }
+        (self.now - self.born) as f64 / SECOND
+    }
+
     /// Notes the customer; true if it was unseen within the ageing time.
     fn meet(&mut self, req: &Request) -> bool {
-        let (now, life) = (self.now, (self.now - self.born) as f64 / SECOND);
+        let (now, life) = (self.now, self.life());
         let plan = &self.s.plans[usize::from(req.plan)];
         let most = self.s.gateways.max(1) as f64;
         let sane = req.width.is_finite() && (0.0..most).contains(&req.first);
         let (first, width) = if sane { (req.first.floor(), req.width.clamp(1.0, most)) } else { (0.0, most) };
         // A customer unseen here: its share, or one request, and what has filled since this start.
         let level = ((plan.burst / width).max(req.units) + plan.rate * life).min(plan.burst);
-        let others = plan.rate * (1.0 - 1.0 / width);
-        let new = || Customer { level, others, filled: now, ..Customer::default() };
+        let (others, owed) = (plan.rate * (1.0 - 1.0 / width), plan.burst - level);
+        let new = || Customer { level, owed, others, filled: now, ..Customer::default() };
         let c = self.customers.entry(req.customer).or_insert_with(new);
         let unseen = c.seen == 0 || now - c.seen > AGING;
         (c.plan, c.seen) = (usize::from(req.plan), now);
@@ -692,17 +691,6 @@
         }
     }
 
-    fn post(&mut self, to: u16, body: Body, act: &mut Vec<Action>) {
-        let samples = self.samples.iter().map(|s| s.1).collect();
-        self.samples.iter_mut().for_each(|s| s.0 -= 1);
-        self.samples.retain(|s| s.0 > 0);
-        let (now, p) = (self.now, self.peers.entry(to).or_default());
-        p.sent = p.sent.wrapping_add(1);
-        p.next = now + self.period;
-        let bytes = Message { born: incarnation(self.born), seq: p.sent, samples, body }.pack();
-        act.push(Action::Tell { to: Some(GatewayNo(to)), bytes });
-    }
-
     /// Sends a peer what waits for it, as much as a message holds.
     fn flush(&mut self, to: u16, act: &mut Vec<Action>) {
         let Some(p) = self.peers.get_mut(&to) else { return };
@@ -782,6 +770,7 @@
             return; // a repeat, or overtaken
         }
         peer.seq = m.seq;
+        self.come_of_age(mine);
         for s in m.samples {
             let class = usize::from(s.class);
             if let (Some(bid), Some(k)) = (self.tags.get(&s.tag), self.s.classes.get(class)) {
@@ -802,14 +791,25 @@
         }
     }
 
+    /// Where all gateways turn out to have started with this one, stores were full then: what was held back of
+    /// each, lest a restart fill it anew, is given out. A customer always past its quota would never get it.
+    fn come_of_age(&mut self, mine: u32) {
+        let all = self.peers.len() as u64 + 1 == self.shares;
+        if all && !self.young && self.peers.values().all(|p| p.born.abs_diff(mine) <= TOGETHER) {
+            self.young = true;
+            self.customers.values_mut().for_each(|c| c.level += std::mem::take(&mut c.owed).max(0.0));
+        }
+    }
+
     /// A gateway told its use of a customer; the answer if it asked.
     fn on_use(&mut self, from: u16, younger: bool, u: Use) -> Option<News> {
-        let (now, life) = (self.now, (self.now - self.born) as f64 / SECOND);
+        let (now, life, young) = (self.now, self.life(), self.young);
         let plan = self.s.plans.get(usize::from(u.plan))?;
         let (burst, cap, told) = (plan.burst, plan.open_cap, f64::from(u.level) / 254.0 * plan.burst);
-        let level = if u.level < 255 { told } else { (plan.rate * life).min(burst) };
+        let level = if u.level < 255 && !young { told } else { (plan.rate * life).min(burst) };
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
-        let new = || Customer { plan: usize::from(u.plan), level, filled: now, ..Customer::default() };
+        let (plan, owed) = (usize::from(u.plan), burst - level);
+        let new = || Customer { plan, level, owed, filled: now, ..Customer::default() };
         self.customers.entry(u.customer).or_insert_with(new);
         self.settle_in(u.customer, u.first, u.width);
         let c = self.fill(u.customer)?;
@@ -820,8 +820,8 @@
         let known = c.heard.contains_key(&from);
         let h = c.heard.entry(from).or_default();
         let mut delta = gone_by(h.total, u.total);
-        if !known && !younger && delta.abs() > burst / 4.0 {
-            delta = 0.0; // its count is older than this start: its view of the store is what is left to go by
+        if !known && !younger && !young && delta.abs() > burst / 4.0 {
+            (c.owed, delta) = (c.owed - delta, 0.0); // its count is older than this start: its view of the store is what is left to go by
             if u.level < 255 {
                 c.level = c.level.min((told - c.used).max(0.0));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a gateway remembers: plain records, and the arithmetic that they share. No decision and no tuned value
 //! lives here; what the records mean and when they change is in `control.rs`.
 
-use crate::gossip::Sample;
+use crate::gossip::{incarnation, Body, Message, Sample};
 use crate::interface::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -71,6 +71,8 @@
     /// The quota's store, as far as known here, and when it was last filled.
     pub level: f64,
     pub filled: Micros,
+    /// What the store held besides when it was met, if nobody had used it before.
+    pub owed: f64,
     /// This gateway's own share of the ceiling's store.
     pub ceiling: f64,
     /// Units sent on by this gateway since its start.
@@ -189,6 +191,8 @@
     pub(crate) retries: f64,
     pub(crate) sent_rate: f64,
     pub(crate) sent_at: Micros,
+    /// All gateways started together with this one: no store was used before.
+    pub(crate) young: bool,
     /// Report period with all gateways as homes; nought in a fleet too large for that.
     pub(crate) period: Micros,
     pub(crate) sweep_at: Micros,
@@ -211,3 +215,27 @@
     z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
     ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
+
+impl Gateway {
+    /// A request is held no longer; what was granted for the last one lapses with it.
+    pub(crate) fn let_go(&mut self, customer: CustomerId, id: RequestId, held: bool) {
+        if let Some(c) = self.customers.get_mut(&customer).filter(|_| held) {
+            c.held.retain(|h| *h != id);
+            if c.held.is_empty() {
+                c.granted = 0.0;
+            }
+        }
+    }
+
+    /// Sends a peer a message, with the latest samples.
+    pub(crate) fn post(&mut self, to: u16, body: Body, act: &mut Vec<Action>) {
+        let samples = self.samples.iter().map(|s| s.1).collect();
+        self.samples.iter_mut().for_each(|s| s.0 -= 1);
+        self.samples.retain(|s| s.0 > 0);
+        let (now, p) = (self.now, self.peers.entry(to).or_default());
+        p.sent = p.sent.wrapping_add(1);
+        p.next = now + self.period;
+        let bytes = Message { born: incarnation(self.born), seq: p.sent, samples, body }.pack();
+        act.push(Action::Tell { to: Some(GatewayNo(to)), bytes });
+    }
+}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -449,6 +449,43 @@
     }
 }
 
+/// How many of ten requests for a unit each, of a customer seen for the first time, gateway 2 of three lets in.
+fn first_come(fleet: &mut Fleet, customer: u64) -> usize {
+    let mut sent = 0;
+    for _ in 0..10 {
+        let (_, actions) = fleet.rigs[2].ask_of(0, 1, customer, 1.0, 3.0);
+        sent += fleet.carry(2, actions, 0);
+    }
+    sent
+}
+
+/// Guards against a store that never gets what was held back of it at the start: a customer that is always past
+/// its quota never fills up by itself. One gateway that restarts among old ones goes on holding it back.
+#[test]
+fn gateways_that_start_together_give_out_whole_stores() {
+    let mut fleet = Fleet::new(3);
+    let before = first_come(&mut fleet, 5);
+    assert!(before <= 3, "{before} of a burst of 6 before anything is known of the others");
+    for at in 0..2 {
+        fleet.ask(at, 0, 1.0, 3.0, 0); // each is heard of
+    }
+    let after = first_come(&mut fleet, 5);
+    assert!((4..=7).contains(&(before + after)), "{before} and {after}: what was held back, once");
+    assert!((5..=7).contains(&first_come(&mut fleet, 6)), "a customer met later has its whole store");
+    let s = Settings { me: GatewayNo(2), ..settings() };
+    for n in 0..3 {
+        let actions = fleet.rigs[n].pass(2 * S);
+        fleet.carry(n, actions, 0);
+    }
+    fleet.rigs[2].gateway = Gateway::new(s, 9, fleet.rigs[2].now);
+    fleet.rigs[2].feed(Event::Roster(RosterKind::Cached, (0..6).map(listed).collect()));
+    for at in 0..3 {
+        fleet.ask(at, 0, 1.0, 3.0, 0);
+    }
+    let reborn = first_come(&mut fleet, 7);
+    assert!(reborn <= 3, "{reborn} of a burst of 6 by one that knows nothing of the time before");
+}
+
 /// Most of a ceiling lies with two of its gateways: a busy one gets far more than an even share.
 #[test]
 fn a_busy_gateway_gets_the_ceiling_that_others_leave() {
