Bound what clients hold in all, and never serve what nobody asked for

Idle ones that have spoken stay (closing one may cross its next request); for room, those that never spoke go first. - Bad commands were answered for ever: the 8th in a row closes. - A huge value is read away for up to 5 s while it comes, not 1 s, so that its error is not lost to a reset. - Unread answers and half commands were bounded for each connection only: now a quarter of the memory in all; answers unread for 15 s end their connection. - backends.rs used the newest idle connection again without a look. Now one rests 2 ms behind an answer and is read before reuse (one call a request). The test with a copy 0.3 ms behind each answer fails without either: with the turn's clock for the rest it served r1 with "value of r0". - An answer that began and goes no further (a length that does not fit, a line without end) held its request to the deadline: now 0.5 s. - Told to stop, what is still open fails 0.4 s past the longest deadline (3 s at most): SIGKILL would lose it 0.3 s later. surplus() no longer walks all connections.

--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -16,6 +16,12 @@
 /// Reads from one connection in a turn: more than the longest answer needs.
 const READS_A_TURN: usize = 8;
 
+/// How long a connection rests behind an answer: noise or a second copy that comes right behind it must show
+/// before the next request could be served with it.
+const REST: Micros = 2_000;
+/// How long the rest of an answer may take to come once it has begun.
+const PATIENCE: Micros = 500_000;
+
 /// What a connection is busy with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -50,6 +56,8 @@
     work: Option<Work>,
     /// When its work began, or when it fell idle.
     since: Micros,
+    /// When its answer began to come.
+    heard: Micros,
     out: Vec<u8>,
     written: usize,
     buf: Vec<u8>,
@@ -174,9 +182,26 @@
         }
     }
 
-    /// Whether work for a backend would need a new connection.
-    pub fn must_connect(&self, backend: BackendId) -> bool {
-        self.pools.get(&backend).is_some_and(|p| p.idle.is_empty())
+    /// Whether work for a backend would need a new connection. `now` is the true time.
+    pub fn must_connect(&self, backend: BackendId, now: Micros) -> bool {
+        self.pools.get(&backend).is_some_and(|p| self.newest_rested(p, now).is_none())
+    }
+
+    fn newest_rested(&self, pool: &Pool, now: Micros) -> Option<usize> {
+        pool.idle.iter().rposition(|key| now >= self.conns[*key].since + REST)
+    }
+
+    /// Takes the newest idle connection to a backend that has rested and has nothing unread.
+    fn rested(&mut self, backend: BackendId, now: Micros) -> Option<usize> {
+        loop {
+            let at = self.newest_rested(self.pools.get(&backend)?, now)?;
+            let key = self.pools.get_mut(&backend)?.idle.remove(at);
+            // Nobody asked for what is there, or the backend has closed. Its descriptor serves the next one.
+            match self.conns[key].stream.read(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(key),
+                _ => drop(self.conns.remove(key)),
+            }
+        }
     }
 
     /// Begins an attempt or a probe with what `fill` writes. What fails at once is in `done`; else the
@@ -203,13 +228,12 @@
         self.conns.get(key).map(|conn| (link, !conn.connected))
     }
 
-    /// The newest idle connection to a backend, or a new one.
+    /// An idle connection to a backend, or a new one.
     fn connection(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
-        let pool = self.pools.get_mut(&backend)?;
-        if let Some(key) = pool.idle.pop() {
+        if let Some(key) = self.rested(backend, now) {
             return Some(key);
         }
-        let address = pool.address?;
+        let address = self.pools.get(&backend)?.address?;
         let mut stream = TcpStream::connect(address).ok()?;
         let place = self.conns.vacant_entry();
         registry
@@ -227,6 +251,7 @@
             connected: false,
             work: None,
             since: now,
+            heard: 0,
             out: Vec::new(),
             written: 0,
             buf: Vec::new(),
@@ -312,6 +337,9 @@
             let conn = &mut self.conns[key];
             match conn.stream.read(&mut self.chunk) {
                 Ok(n) if n > 0 => {
+                    if conn.buf.is_empty() {
+                        conn.heard = now;
+                    }
                     conn.buf.extend_from_slice(&self.chunk[..n]);
                     if !self.take_answer(key, now) {
                         return self.remove(key);
@@ -380,6 +408,14 @@
         let old = |c: &Conn| c.work.is_none() && now > c.since + self.idle_for;
         let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
         old.into_iter().for_each(|key| self.remove(key));
+        // An answer that began and goes no further will not be whole: a line or a length without an end.
+        let stuck = |c: &Conn| !c.buf.is_empty() && now > c.heard + PATIENCE;
+        let stuck: Vec<usize> = self.conns.iter().filter(|(_, c)| stuck(c)).map(|(key, _)| key).collect();
+        for key in stuck {
+            let outcome = self.conns[key].broken();
+            self.end(key, outcome, Vec::new(), None);
+            self.remove(key);
+        }
     }
 
     /// Closes the connection that has been idle for longest, to make room; false if none is idle.
--- a/src/bin/wrenfork/call.rs
+++ b/src/bin/wrenfork/call.rs
@@ -17,6 +17,10 @@
     pub classes: Vec<(String, Repeat)>,
     /// The plans.
     pub plans: Vec<String>,
+    /// The most units that a request takes.
+    pub most_units: f64,
+    /// How many ingresses there are.
+    pub gateways: u64,
 }
 
 /// A client's request.
@@ -26,6 +30,8 @@
     pub request: Request,
     /// How long the client waits.
     pub wait: Micros,
+    /// Where its id is in the command.
+    id: Range<usize>,
     /// The command as it came, but for the length of its options and the value of `d`.
     bytes: Vec<u8>,
     head: usize,
@@ -117,25 +123,40 @@
         if matches!(repeat, Repeat::Keyed { .. }) && !key.is_some_and(graphic) {
             return Err(missing("k"));
         }
+        // What is out of range reaches neither the module, which keeps it in the customer's record, nor a backend.
+        let range =
+            |good: bool, what: &str| if good { Ok(()) } else { Err(format!("{what} is out of range")) };
+        let (units, width) =
+            (units.ok_or_else(|| missing("units"))?, width.ok_or_else(|| missing("spread"))?);
+        let first = first.ok_or_else(|| missing("first"))?;
+        range(units > 0.0 && units <= words.most_units, "units")?;
+        range((1..=words.gateways).contains(&width), "spread")?;
+        range(first < words.gateways, "first")?;
         let request = Request {
             class: u8::try_from(class).map_err(|_| "the class is unknown")?,
             plan: u16::try_from(plan).map_err(|_| "the plan is unknown")?,
             customer: CustomerId(customer_id),
-            units: units.ok_or_else(|| missing("units"))?,
-            width: width.ok_or_else(|| missing("spread"))? as f64,
-            first: first.ok_or_else(|| missing("first"))? as f64,
+            units,
+            width: width as f64,
+            first: first as f64,
             ..Request::default()
         };
         let mut bytes = Vec::with_capacity(96 + options.len() + args.get(4).map_or(0, |b| b.len() + 16));
         resp::put_array(&mut bytes, args.len());
         args[..3].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
         let head = bytes.len();
+        let id = head - 2 - id.len()..head - 2;
         bytes.extend_from_slice(&options[..place.start]);
         let before = bytes.len();
         bytes.extend_from_slice(&options[place.end..]);
         let after = bytes.len();
         args[4..].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
-        Ok(Call { request, wait, bytes, head, before, after })
+        Ok(Call { request, wait, id, bytes, head, before, after })
+    }
+
+    /// The id that the client gave it.
+    pub fn id(&self) -> &[u8] {
+        &self.bytes[self.id.clone()]
     }
 
     /// Appends the command as it goes to a backend, which is told how long it is waited for.
@@ -162,7 +183,8 @@
         let keyed = Repeat::Keyed { group: Group::Cell, window: 3_000_000 };
         let classes =
             vec![("quote".into(), Repeat::Safe), ("save".into(), keyed), ("refer".into(), Repeat::Once)];
-        Vocabulary { classes, plans: vec!["starter".into(), "business".into()] }
+        let plans = vec!["starter".into(), "business".into()];
+        Vocabulary { classes, plans, most_units: 4.0, gateways: 4 }
     }
 
     fn read(parts: &[&str]) -> Result<Call, String> {
@@ -179,6 +201,7 @@
         let call = read(&["CALL.POST", "00000000b4d65521", "9b1f", options, "BO\r\nDY"]).unwrap();
         let r = call.request;
         assert_eq!((r.class, r.plan, r.customer.0, call.wait), (1, 1, 0xb4d6_5521, 480_000));
+        assert_eq!(call.id(), b"9b1f");
         assert_eq!((r.units, r.width, r.first), (2.0, 3.0, 1.0));
         let mut out = Vec::new();
         call.write(123_999, &mut out);
@@ -202,6 +225,13 @@
             ("d=480", "d=99999999999999999999", "d is no"),
             ("units=2", "units=nan", "units"),
             ("units=2", "units=1e9", "units"),
+            ("units=2", "units=-400", "units"),
+            ("units=2", "units=0", "units is out of range"),
+            ("units=2", "units=4.1", "units is out of range"),
+            ("spread=3", "spread=0", "spread is out of range"),
+            ("spread=3", "spread=5", "spread is out of range"),
+            ("first=1", "first=4", "first is out of range"),
+            ("first=1", "first=-1", "first is no"),
             ("spread=3", "spread=x", "spread"),
             (",first=1", "", "first is missing"),
             (",first=1", ",first", "'='"),
--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -14,6 +14,8 @@
 /// Bytes read at once, and reads from one connection in a turn: a fast client must not hold up the others.
 const CHUNK: usize = 16 * 1024;
 const READS_A_TURN: usize = 4;
+/// What an idle connection may keep of its buffer for answers.
+const SMALL: usize = 2 * 1024;
 /// Connections accepted in a turn.
 const ACCEPTS_A_TURN: usize = 64;
 /// Requests of one connection that may wait for their answer, and bytes of answers that may wait for the
@@ -21,8 +23,16 @@
 /// are descriptors, must fit in the memory.
 const MOST_WAITING: usize = 256;
 const MOST_UNREAD: usize = 64 * 1024;
-/// How long a connection that was told why it is closed may take to read that.
+/// Bad commands in a row after which a connection is closed: each costs an answer, and some clients never tire.
+const MOST_ERRORS: u32 = 8;
+/// How long a new connection may say nothing, and how long the rest of a command may take to come.
+const PATIENCE: Micros = 2_000_000;
+/// How long answers may lie unread until their client is taken for gone.
+const UNREAD: Micros = 15_000_000;
+/// How long a connection that was told why it is closed may take to read that, and how long while it still sends:
+/// closed with something unread, it would be reset, and what it was told be lost.
 const LINGER: Micros = 1_000_000;
+const LONGEST_LINGER: Micros = 5_000_000;
 
 /// Where an answer belongs.
 #[derive(Clone, Copy, Debug)]
@@ -53,9 +63,17 @@
     /// Answers in the order of the requests, and the number of the first of them.
     slots: VecDeque<Slot>,
     first: u64,
+    /// Bytes of answers that wait for those before them.
+    ready: usize,
     out: Vec<u8>,
     written: usize,
+    /// What it was last found to hold in memory.
+    counted: usize,
     since: Micros,
+    /// When what `buf` holds of a command began to come; with none, when it was accepted.
+    begun: Micros,
+    /// Bad commands since the last good one.
+    errors: u32,
     /// What it still says is not read: it is closed once all before that is answered.
     closing: bool,
     /// Its answers are written and its sending has ended; until then it may read them.
@@ -77,7 +95,29 @@
     }
 
     fn full(&self) -> bool {
-        self.slots.len() >= MOST_WAITING || self.out.len() - self.written >= MOST_UNREAD
+        self.slots.len() >= MOST_WAITING || self.ready + self.out.len() - self.written >= MOST_UNREAD
+    }
+
+    /// Brings up to date what it holds, in the sum as well.
+    fn recount(&mut self, held: &mut usize) {
+        let now = self.memory();
+        *held = *held - self.counted + now;
+        self.counted = now;
+    }
+
+    fn memory(&self) -> usize {
+        self.buf.capacity() + self.ready + self.out.capacity()
+    }
+
+    /// Whether a whole command has ever come.
+    fn spoke(&self) -> bool {
+        self.first > 0 || !self.slots.is_empty()
+    }
+
+    /// Notes a bad command; the last one that is borne ends the connection behind its answer.
+    fn strike(&mut self) {
+        self.errors += 1;
+        self.closing |= self.errors >= MOST_ERRORS;
     }
 
     /// Puts down an answer that is known at once.
@@ -86,6 +126,7 @@
             self.out.extend_from_slice(text);
             self.first += 1;
         } else {
+            self.ready += text.len();
             self.slots.push_back(Slot::Ready(text.to_vec()));
         }
     }
@@ -127,13 +168,17 @@
     /// Connections are closed as soon as they are between requests.
     draining: bool,
     lingering: usize,
+    surplus: usize,
+    /// What all of them hold in memory, and may.
+    held: usize,
+    memory: usize,
     /// What came since it was last looked at, in order.
     pub incoming: VecDeque<Incoming>,
 }
 
 impl Clients {
-    /// Starts from a listener that is registered already.
-    pub fn new(listener: TcpListener, words: Vocabulary, tokens: fn(usize) -> Token) -> Self {
+    /// Starts from a listener that is registered already; `memory` is what connections may hold in all.
+    pub fn new(listener: TcpListener, words: Vocabulary, memory: usize, tokens: fn(usize) -> Token) -> Self {
         Clients {
             listener: Some(listener),
             conns: Slab::new(),
@@ -147,6 +192,9 @@
             again: Vec::new(),
             draining: false,
             lingering: 0,
+            surplus: 0,
+            held: 0,
+            memory,
             incoming: VecDeque::new(),
         }
     }
@@ -158,7 +206,7 @@
 
     /// How many of them were taken in beyond the budget.
     pub fn surplus(&self) -> usize {
-        self.conns.iter().filter(|(_, c)| c.surplus).count()
+        self.surplus
     }
 
     /// How many of them still owe or await something.
@@ -202,15 +250,20 @@
         let _ = stream.set_nodelay(true); // an answer is one write: there is nothing to wait for
         self.serial += 1;
         self.lingering += usize::from(surplus);
+        self.surplus += usize::from(surplus);
         place.insert(Client {
             stream,
             serial: self.serial,
             buf: Vec::new(),
             slots: VecDeque::new(),
             first: 0,
+            ready: 0,
             out: Vec::new(),
             written: 0,
+            counted: 0,
             since: now,
+            begun: now,
+            errors: 0,
             closing: false,
             linger_until: surplus.then_some(now + LINGER),
             surplus,
@@ -247,6 +300,13 @@
     }
 
     fn read(&mut self, key: usize, now: Micros, closed: bool) {
+        if self.conns.contains(key) {
+            self.read_some(key, now, closed);
+            self.account(key);
+        }
+    }
+
+    fn read_some(&mut self, key: usize, now: Micros, closed: bool) {
         for _ in 0..READS_A_TURN {
             if !self.take_commands(key, now) {
                 self.conns[key].stalled = true;
@@ -257,11 +317,17 @@
                 Ok(0) => return self.remove(key),
                 Ok(n) if c.closing => {
                     // Read, or the kernel would reset the connection under the answers; but not looked at.
+                    if let (true, Some(until)) = (c.shut, &mut c.linger_until) {
+                        *until = (now + LINGER).min(c.since + LONGEST_LINGER).max(*until);
+                    }
                     if n < CHUNK && !closed {
                         return;
                     }
                 }
                 Ok(n) => {
+                    if c.buf.is_empty() && c.spoke() {
+                        c.begun = now.max(c.begun);
+                    }
                     c.buf.extend_from_slice(&self.chunk[..n]);
                     // Less than there was room for: that was all, and more will be told.
                     if n < CHUNK && !closed {
@@ -280,6 +346,34 @@
         }
     }
 
+    /// Notes what a connection holds. Bounds for each are none for all together: beyond that, the one that has
+    /// half said most is told so and closed, or else the one that has most to read.
+    fn account(&mut self, key: usize) {
+        let Some(c) = self.conns.get_mut(key) else { return };
+        c.recount(&mut self.held);
+        while self.held > self.memory {
+            let most = self.conns.iter_mut().max_by_key(|(_, c)| (c.buf.capacity(), c.counted));
+            let Some((key, c)) = most else { return };
+            if c.buf.is_empty() {
+                self.remove(key);
+                continue;
+            }
+            Self::break_off(c, "no memory for the rest of a command");
+            c.recount(&mut self.held);
+            if !std::mem::replace(&mut c.dirty, true) {
+                self.dirty.push(key);
+            }
+        }
+    }
+
+    /// Ends a connection in the middle of a command, once it has been told why.
+    fn break_off(c: &mut Client, why: &str) {
+        let mut text = Vec::new();
+        resp::put_error(&mut text, why);
+        c.answer_now(&text);
+        (c.closing, c.buf) = (true, Vec::new());
+    }
+
     fn read_later(&mut self, key: usize) {
         if !std::mem::replace(&mut self.conns[key].listed, true) {
             self.again.push(key);
@@ -297,7 +391,7 @@
                 Ok(Some(n)) => {
                     let part = &c.buf[at..at + n];
                     at += n;
-                    c.since = now.max(c.since);
+                    (c.since, c.begun) = (now.max(c.since), now.max(c.begun));
                     match Call::read(part, &self.args, &self.words) {
                         Some(Ok(_)) if c.surplus => {
                             c.answer_now(b"-BUSY\r\n");
@@ -308,6 +402,7 @@
                             self.next_id += 1;
                             let id = RequestId(self.next_id);
                             let origin = Origin { key, serial: c.serial, slot: c.first + slots };
+                            c.errors = 0;
                             c.slots.push_back(Slot::Waiting(id));
                             self.incoming.push_back(Incoming::Call(id, origin, call));
                             continue;
@@ -316,11 +411,16 @@
                             let mut text = Vec::new();
                             resp::put_error(&mut text, &why);
                             c.answer_now(&text);
+                            c.strike();
                         }
                         None if part[self.args[0].clone()].eq_ignore_ascii_case(b"PING") => {
                             c.answer_now(b"+PONG\r\n");
+                            c.errors = 0;
+                        }
+                        None => {
+                            c.answer_now(b"-ERR unknown command\r\n");
+                            c.strike();
                         }
-                        None => c.answer_now(b"-ERR unknown command\r\n"),
                     }
                 }
                 Err(why) => {
@@ -335,13 +435,26 @@
                 self.dirty.push(key);
             }
         }
+        if c.closing {
+            at = c.buf.len(); // what follows the last thing that is answered is not looked at
+        }
         c.buf.drain(..at);
         if c.buf.is_empty() {
-            c.buf.shrink_to(CHUNK);
+            c.buf = Vec::new(); // there are many that wait: none keeps more than it needs
         }
         !c.full()
     }
 
+    /// Answers a request that could not be taken: the connection bears some of them.
+    pub fn reject(&mut self, origin: Origin, why: &str) {
+        let mut text = Vec::new();
+        resp::put_error(&mut text, why);
+        if let Some(c) = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial) {
+            c.strike();
+        }
+        self.answer(origin, &text);
+    }
+
     /// Gives a request its final answer, a whole RESP2 value.
     pub fn answer(&mut self, origin: Origin, text: &[u8]) {
         let found = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial);
@@ -353,13 +466,16 @@
             c.out.extend_from_slice(text);
         } else if let Some(slot) = c.slots.get_mut(at) {
             *slot = Slot::Ready(text.to_vec());
+            c.ready += text.len();
         }
         while let Some(Slot::Ready(_)) = c.slots.front() {
             if let Some(Slot::Ready(text)) = c.slots.pop_front() {
                 c.first += 1;
+                c.ready -= text.len();
                 c.out.extend_from_slice(&text);
             }
         }
+        c.recount(&mut self.held);
         if !std::mem::replace(&mut c.dirty, true) {
             self.dirty.push(origin.key);
         }
@@ -388,7 +504,8 @@
             if c.written == c.out.len() {
                 (c.written, c.since) = (0, now.max(c.since));
                 c.out.clear();
-                c.out.shrink_to(CHUNK);
+                c.out.shrink_to(SMALL);
+                c.recount(&mut self.held);
             }
             // Commands that were held back by a full line of answers are taken up again.
             if c.stalled && !c.full() {
@@ -425,9 +542,9 @@
     pub fn close_oldest(&mut self) -> bool {
         loop {
             let idle = self.conns.iter().filter(|(_, c)| c.idle());
-            // Many fall idle at one clock: of these the oldest goes, not the one that was accepted just now into
-            // the first free place.
-            let oldest = idle.min_by_key(|(_, c)| (c.since, c.serial));
+            // Those that never said anything go first. Many fall idle at one clock: of these the oldest goes, not
+            // the one that was accepted just now into the first free place.
+            let oldest = idle.min_by_key(|(_, c)| (c.spoke(), c.since, c.serial));
             let Some((key, since)) = oldest.map(|(key, c)| (key, c.since)) else {
                 return false;
             };
@@ -442,12 +559,37 @@
     fn remove(&mut self, key: usize) {
         let c = self.conns.remove(key); // dropped, it is closed, and so out of the poll
         self.lingering -= usize::from(c.linger_until.is_some());
+        self.surplus -= usize::from(c.surplus);
+        self.held -= c.counted;
         let waiting = c.slots.iter().filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
         self.incoming.extend(waiting.map(Incoming::Gone));
     }
 
+    /// Ends what says nothing, or half a command, for too long: it holds a descriptor and memory.
+    fn end_silent(&mut self, now: Micros) {
+        let late = |c: &Client| now > c.begun + PATIENCE && !c.closing && !c.surplus && !c.stalled;
+        let silent = |c: &Client| if c.buf.is_empty() { !c.spoke() } else { !c.full() };
+        let over = self.conns.iter().filter(|(_, c)| late(c) && silent(c));
+        let over: Vec<usize> = over.map(|(key, _)| key).collect();
+        let unread = self.conns.iter().filter(|(_, c)| !c.out.is_empty() && now > c.since + UNREAD);
+        let unread: Vec<usize> = unread.map(|(key, _)| key).collect();
+        unread.into_iter().for_each(|key| self.remove(key));
+        for key in over {
+            let Some(c) = self.conns.get_mut(key) else { continue };
+            if c.buf.is_empty() {
+                self.close_if_silent(key, now);
+                continue;
+            }
+            Self::break_off(c, "the rest of a command did not come in time");
+            if !std::mem::replace(&mut c.dirty, true) {
+                self.dirty.push(key);
+            }
+        }
+    }
+
     /// Closes what has lingered for long enough.
     pub fn sweep(&mut self, now: Micros) {
+        self.end_silent(now);
         if self.lingering > 0 {
             let over = |c: &Client| c.linger_until.is_some_and(|t| t <= now);
             let over: Vec<usize> = self.conns.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
--- a/src/bin/wrenfork/config.rs
+++ b/src/bin/wrenfork/config.rs
@@ -95,7 +95,9 @@
         }
         let names = conf.names("grades")?;
         let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
-        let vocabulary = Vocabulary { classes, plans: conf.names("contracts")? };
+        let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
+        let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
+        let vocabulary = Vocabulary { classes, plans, most_units, gateways };
         let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
         let known = json.get("known").ok_or("known is missing")?;
         let known = Roster::read(known, &sites).map_err(|e| format!("known: {e}"))?;
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -18,7 +18,9 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::hash_map::RandomState;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::hash::BuildHasher;
 use std::io;
 use std::io::Write;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -37,16 +39,22 @@
 const MOST_SURPLUS: usize = 8;
 /// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
 const MOST_EIGHTHS: usize = 6;
-/// The part of the memory that open requests may take.
+/// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
 /// How long connections are still accepted once told to stop: new ones come for up to 0.4 s.
 const STILL_ACCEPTING: Micros = 500_000;
 /// How long after that a client that says nothing whole is still waited for.
 const LAST_WAIT: Micros = 1_000_000;
+/// How long after it is told to stop the last of its requests have failed, besides their longest deadline or this
+/// much of it: SIGKILL may come 0.7 s after that.
+const LAST_ANSWER: Micros = 400_000;
+const LONGEST_DEADLINE: Micros = 3_000_000;
 /// How long an ingress told to stop waits, all in all, for clients to read their answers.
 const LAST_READ: Micros = 2_000_000;
 /// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
 const LONGEST_WAIT: Micros = 60_000_000;
+/// How long after its end the id of a request is still known: one that is new each time does not come again.
+const ID_KNOWN: Micros = 1_000_000;
 /// Time between looks at what has been idle for long.
 const SWEEP: Micros = 500_000;
 /// Time until accepting is tried again after there was no descriptor for it.
@@ -91,6 +99,8 @@
     Reload,
     /// The time of accepting while stopping is over.
     Close,
+    /// The time of answering while stopping is over.
+    Last,
 }
 
 struct Attempt {
@@ -102,6 +112,8 @@
 
 struct Open {
     call: Call,
+    /// A hash of its id.
+    name: u64,
     origin: Origin,
     deadline: Micros,
     attempts: Vec<Attempt>,
@@ -136,11 +148,18 @@
     peers: Option<Peers>,
     signals: Signals,
     requests: HashMap<RequestId, Open>,
+    /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
+    /// anew at each start.
+    names: HashSet<u64>,
+    ended: VecDeque<(Micros, u64)>,
+    hasher: RandomState,
     /// The memory of the open requests.
     held: usize,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     accept_more: bool,
     peers_more: bool,
+    /// How long it serves once told to stop.
+    last_answer: Micros,
     /// Told to stop, and when the connections were begun to be closed.
     stopping: bool,
     closing_since: Option<Micros>,
@@ -193,6 +212,7 @@
         let clock = Clock::new();
         let now = clock.now();
         let settings = config.settings;
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let sockets = config.sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = Ingress {
             poll,
@@ -207,17 +227,23 @@
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(listener, config.vocabulary, |key| Token(FIRST + 2 * key)),
+            clients: Clients::new(listener, config.vocabulary, config.memory / MEMORY_SHARE, |key| {
+                Token(FIRST + 2 * key)
+            }),
             backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
             reload,
             peers,
             signals,
             requests: HashMap::new(),
+            names: HashSet::new(),
+            ended: VecDeque::new(),
+            hasher: RandomState::new(),
             held: 0,
             timers: BinaryHeap::from([Reverse((now + SWEEP, Due::Sweep))]),
             accept_more: false,
             peers_more: false,
+            last_answer: longest.min(LONGEST_DEADLINE) + LAST_ANSWER,
             stopping: false,
             closing_since: None,
         };
@@ -286,7 +312,8 @@
                 SIGNALS => self.take_signals(),
                 PEERS => self.hear_peers(),
                 Token(t) if (t - FIRST) % 2 == 1 => {
-                    self.backends.ready((t - FIRST) / 2, self.now, writable, closed);
+                    // The true time: a connection rests for less than a tick.
+                    self.backends.ready((t - FIRST) / 2, self.clock.now(), writable, closed);
                     self.pump();
                 }
                 Token(t) => {
@@ -345,6 +372,7 @@
         if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
             crate::log("stopping: answering what has been taken");
             self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
+            self.timers.push(Reverse((self.now + self.last_answer, Due::Last)));
         }
     }
 
@@ -401,6 +429,11 @@
     }
 
     fn take_call(&mut self, id: RequestId, origin: Origin, call: Call) {
+        // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
+        let name = self.hasher.hash_one(call.id());
+        if self.names.contains(&name) {
+            return self.clients.reject(origin, "the id is not new");
+        }
         let size = call.size();
         if self.requests.len() >= self.limits.max_open as usize || self.held + size > self.memory {
             // Never let in, so trying again is harmless.
@@ -414,7 +447,8 @@
         self.timers.push(Reverse((request.deadline + early, Due::Overdue(id))));
         self.held += size;
         let (deadline, attempts) = (request.deadline, Vec::new());
-        self.requests.insert(id, Open { call, origin, deadline, attempts, over: false });
+        self.names.insert(name);
+        self.requests.insert(id, Open { call, name, origin, deadline, attempts, over: false });
         self.events.push_back(Event::Request(request));
     }
 
@@ -442,6 +476,9 @@
                 Due::Sweep => {
                     self.backends.sweep(self.now);
                     self.clients.sweep(self.now);
+                    while self.ended.front().is_some_and(|e| e.0 <= self.now) {
+                        self.ended.pop_front().map(|e| self.names.remove(&e.1));
+                    }
                     self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
                 }
                 Due::Accept => self.accept(),
@@ -452,6 +489,10 @@
                     self.clients.drain(self.now);
                     self.take_incoming();
                 }
+                Due::Last => {
+                    let open: Vec<RequestId> = self.requests.keys().copied().collect();
+                    open.into_iter().for_each(|id| self.overdue(id));
+                }
             }
             self.pump();
         }
@@ -541,8 +582,10 @@
     /// Forgets a request that is over and has nothing out any more.
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
-            let open = self.requests.remove(&id);
-            self.held -= open.map_or(0, |o| o.call.size());
+            if let Some(open) = self.requests.remove(&id) {
+                self.held -= open.call.size();
+                self.ended.push_back((self.now + ID_KNOWN, open.name));
+            }
         }
     }
 
@@ -619,7 +662,7 @@
 
     /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
     fn make_room(&mut self, backend: BackendId) -> bool {
-        if !self.backends.must_connect(backend) {
+        if !self.backends.must_connect(backend, self.clock.now()) {
             return true;
         }
         if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    fn number_or(&self, key: &str, absent: f64) -> Result<f64, String> {
+    /// The number at a path, or another one where there is none.
+    pub fn number_or(&self, key: &str, absent: f64) -> Result<f64, String> {
         if self.0.contains_key(key) {
             self.number(key)
         } else {
--- a/src/control.rs
+++ b/src/control.rs
@@ -81,6 +81,7 @@
             rng: seed,
             now,
             born: now,
+            known_since: Some(now),
             usual,
             retries: RETRY_STORE,
             places: PLACES,
@@ -209,12 +210,9 @@
         act.push(Action::Refuse { id, pause: pause.min(most) });
     }
 
-    /// Seconds for which use has been known here: since this start, or for ever.
+    /// Seconds for which all use has been known here.
     fn life(&self) -> f64 {
-        if self.young {
-            return f64::MAX;
-        }
-        (self.now - self.born) as f64 / SECOND
+        self.known_since.map_or(f64::MAX, |t| (self.now - t) as f64 / SECOND)
     }
 
     /// Notes the customer; true if it was unseen within the ageing time.
@@ -791,25 +789,26 @@
         }
     }
 
-    /// Where all gateways turn out to have started with this one, stores were full then: what was held back of
-    /// each, lest a restart fill it anew, is given out. A customer always past its quota would never get it.
+    /// Where all turn out to have started with this one, stores were full then: what was held back of each,
+    /// lest a restart fill it anew, is given out once. One always past its quota would never get it.
     fn come_of_age(&mut self, mine: u32) {
         let all = self.peers.len() as u64 + 1 == self.shares;
-        if all && !self.young && self.peers.values().all(|p| p.born.abs_diff(mine) <= TOGETHER) {
-            self.young = true;
+        if all && self.known_since.is_some() && self.peers.values().all(|p| p.born.abs_diff(mine) <= TOGETHER)
+        {
+            self.known_since = None;
             self.customers.values_mut().for_each(|c| c.level += std::mem::take(&mut c.owed).max(0.0));
         }
     }
 
     /// A gateway told its use of a customer; the answer if it asked.
     fn on_use(&mut self, from: u16, younger: bool, u: Use) -> Option<News> {
-        let (now, life, young) = (self.now, self.life(), self.young);
+        let (now, life, young) = (self.now, self.life(), self.known_since.is_none());
         let plan = self.s.plans.get(usize::from(u.plan))?;
         let (burst, cap, told) = (plan.burst, plan.open_cap, f64::from(u.level) / 254.0 * plan.burst);
         let level = if u.level < 255 && !young { told } else { (plan.rate * life).min(burst) };
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
-        let (plan, owed) = (usize::from(u.plan), burst - level);
-        let new = || Customer { plan, level, owed, filled: now, ..Customer::default() };
+        let owed = burst - level;
+        let new = || Customer { plan: usize::from(u.plan), level, owed, filled: now, ..Customer::default() };
         self.customers.entry(u.customer).or_insert_with(new);
         self.settle_in(u.customer, u.first, u.width);
         let c = self.fill(u.customer)?;
@@ -821,7 +820,8 @@
         let h = c.heard.entry(from).or_default();
         let mut delta = gone_by(h.total, u.total);
         if !known && !younger && !young && delta.abs() > burst / 4.0 {
-            (c.owed, delta) = (c.owed - delta, 0.0); // its count is older than this start: its view of the store is what is left to go by
+            // Its count is older than this start: its view of the store is what is left to go by.
+            (c.owed, delta) = (c.owed - delta, 0.0);
             if u.level < 255 {
                 c.level = c.level.min((told - c.used).max(0.0));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -191,8 +191,8 @@
     pub(crate) retries: f64,
     pub(crate) sent_rate: f64,
     pub(crate) sent_at: Micros,
-    /// All gateways started together with this one: no store was used before.
-    pub(crate) young: bool,
+    /// Since when all use of customers is known: this start; none where all gateways started with this one.
+    pub(crate) known_since: Option<Micros>,
     /// Report period with all gateways as homes; nought in a fleet too large for that.
     pub(crate) period: Micros,
     pub(crate) sweep_at: Micros,
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -47,6 +47,7 @@
     let mut client = ingress.client();
     for n in 0..20 {
         assert_eq!(client.ask(&call("quote", &format!("q{n}"), 900)), format!("value of q{n}"));
+        thread::sleep(Duration::from_millis(10)); // a connection rests for a moment behind an answer
     }
     assert_eq!(backend.seen.opened.load(Ordering::SeqCst), 1, "the newest idle connection is used again");
 }
@@ -74,12 +75,18 @@
 
 // ---- Outcomes ----
 
+/// An id is new with every request.
+fn new_id() -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    format!("n{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Asks for two requests at once, again and again, until `wanted` has had one, and gives the answer to that. One
 /// after the other they might all go to the backend that answered first.
 fn answer_through(ingress: &Ingress, class: &str, wanted: &Backend) -> String {
     let (mut client, before) = (ingress.client(), wanted.count());
-    for n in 0..200 {
-        let ids = [format!("r{n}a"), format!("r{n}b")];
+    for _ in 0..200 {
+        let ids = [new_id(), new_id()];
         client.send(&ids.clone().map(|id| call(class, &id, 1500)).concat());
         let answers = ids.map(|id| (client.answer(), id));
         let had = wanted.seen.commands.lock().unwrap().get(before).map(|c| c[2].clone());
@@ -122,6 +129,46 @@
     until("the connection is closed", || bad.seen.ended.load(Ordering::SeqCst) == 1);
 }
 
+/// Guards against waiting for the rest of what will not come until the client's time is over.
+#[test]
+fn an_answer_without_an_end_is_given_up() {
+    for spoilt in [&b"*3\r\n$40000\r\nabc\r\n"[..], b"-ERR and so on", b"*3\r\n"] {
+        let bad = Backend::start(|_| Act::Say(spoilt.to_vec()));
+        let ingress = Setup::of(&[&bad]).start();
+        let start = Instant::now();
+        assert_eq!(ingress.client().ask(&call("refer", "r1", 7000)), "-ERR failed");
+        assert!(start.elapsed() < Duration::from_secs(4), "waited for {:?}", start.elapsed());
+    }
+}
+
+/// Guards against serving a request with the copy of the answer before it: it came once the connection was in its
+/// pool again.
+#[test]
+fn what_comes_behind_an_answer_serves_nobody() {
+    let backend = Backend::start(|args| {
+        let mut twice = served(args);
+        twice.extend_from_slice(&served(args));
+        Act::Parts(twice.len() / 2, twice)
+    });
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    for n in 0..200 {
+        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
+        thread::sleep(Duration::from_micros(n * 20));
+    }
+}
+
+/// Guards against losing a good value to a report that can't be read.
+#[test]
+fn a_value_is_kept_though_its_report_is_noise() {
+    for load in ["$3\r\n=,=\r\n", "$9\r\nutil=-1e9\r\n", "$8\r\nutil=nan\r\n", ":7\r\n", "+x\r\n"] {
+        let answer = format!("*3\r\n$2\r\nok\r\n$-1\r\n{load}");
+        let backend = Backend::start(move |_| Act::Say(answer.clone().into_bytes()));
+        let ingress = Setup::of(&[&backend]).start();
+        assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "ok", "{load:?}");
+    }
+}
+
 #[test]
 fn an_answer_in_another_form_is_no_value() {
     let (_, answer) = may_have_run(Backend::start(|_| Act::Say(b"*3\r\n$-1\r\n$-1\r\n$-1\r\n".to_vec())));
@@ -317,6 +364,111 @@
     assert_eq!(backend.count(), 1, "nothing bad reaches a backend");
 }
 
+/// Guards against requests that the module would keep in a usual customer's record, and a backend turn away.
+#[test]
+fn what_is_out_of_range_reaches_no_backend() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    setup.settings = setup.settings.replace("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
+    let ingress = setup.start();
+    let good = String::from_utf8(call_of(4711, "quote", "q1", 900)).unwrap();
+    for (from, to) in [
+        ("units=1", "units=0"),
+        ("units=1", "units=9"),
+        ("spread=1", "spread=0"),
+        ("spread=1", "spread=2"),
+        ("first=0", "first=1"),
+    ] {
+        let answer = ingress.client().ask(good.replace(from, to).as_bytes());
+        assert!(answer.starts_with("-ERR"), "{to}: {answer}");
+    }
+    assert_eq!(ingress.client().ask(good.as_bytes()), "value of q1");
+    assert_eq!(backend.count(), 1);
+}
+
+/// Guards against a second request under an id that is open: backends would take it for a copy of the first.
+#[test]
+fn an_id_that_is_open_already_is_an_error_and_does_not_disturb_the_first() {
+    let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
+    let ingress = Setup::of(&[&backend]).start();
+    let mut first = ingress.client();
+    first.send(&call("refer", "r1", 4000));
+    until("it is sent", || backend.count() == 1);
+    for id in ["r1", "r1"] {
+        let answer = ingress.client().ask(&call("refer", id, 4000));
+        assert!(answer.starts_with("-ERR"), "{answer}");
+    }
+    assert_eq!(first.answer(), "value of r1");
+    // It may come late by a moment only.
+    assert!(ingress.client().ask(&call("refer", "r1", 4000)).starts_with("-ERR"));
+    assert_eq!(ingress.client().ask(&call("refer", "r2", 4000)), "value of r2");
+    assert_eq!(backend.count(), 2);
+}
+
+/// Guards against a client that sends bad commands for as long as its connection stands.
+#[test]
+fn after_some_bad_commands_the_connection_is_closed() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    client.send(&[call("quote", "q1", 900), command(&["GET", "x"]).repeat(300)].concat());
+    assert_eq!(client.answer(), "value of q1");
+    let errors = (0..300).take_while(|_| client.answer().starts_with("-ERR")).count();
+    assert!((1..20).contains(&errors), "{errors} errors");
+    assert_eq!(ingress.client().ask(&call("quote", "q2", 900)), "value of q2");
+}
+
+/// Guards against descriptors held by clients that say nothing, or never the whole of a command: each is owed an
+/// error or a close within 3 s. One that has spoken may stay.
+#[test]
+fn clients_that_say_nothing_whole_are_ended() {
+    let ingress = Setup::of(&[]).start();
+    let (mut usual, mut silent, mut half) = (ingress.client(), ingress.client(), ingress.client());
+    let start = Instant::now();
+    assert_eq!(usual.ask(&command(&["PING"])), "+PONG");
+    half.send(b"*4\r\n$8\r\nCALL");
+    assert!(half.answer().starts_with("-ERR"));
+    assert!(half.ended() && silent.ended());
+    assert!(start.elapsed() < Duration::from_secs(5), "it took {:?}", start.elapsed());
+    assert_eq!(usual.ask(&command(&["PING"])), "+PONG");
+    // Half a command is timed from its first byte, not from the last command.
+    let ping = command(&["PING"]);
+    usual.send(&ping[..5]);
+    thread::sleep(Duration::from_millis(1200));
+    assert_eq!(usual.ask(&ping[5..]), "+PONG");
+}
+
+/// Guards against an error that a reset takes away: the client is still sending when the connection is given up.
+#[test]
+fn a_huge_value_is_told_so_while_it_is_still_sent() {
+    let ingress = Setup::of(&[]).start();
+    let mut client = ingress.client();
+    client.send(b"*1\r\n$60000000\r\n");
+    for _ in 0..60 {
+        client.send(&[b'x'; 1_000_000]);
+    }
+    assert!(client.answer().starts_with("-ERR protocol error"));
+    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+}
+
+/// Guards against bounds that hold for each connection and not for all: half commands of 64 KiB by the hundred.
+#[test]
+fn half_commands_together_keep_to_the_memory() {
+    let backend = Backend::start(serve);
+    let mut setup = Setup::of(&[&backend]);
+    setup.memory_mb = 16;
+    let ingress = setup.start();
+    let half = [&b"*2\r\n$65536\r\n"[..], &[b'x'; 60_000]].concat();
+    let mut clients: Vec<Client> = (0..150).map(|_| ingress.client()).collect();
+    clients.iter_mut().for_each(|c| drop(std::io::Write::write_all(&mut c.0, &half)));
+    let answer = ingress.client().ask(&call("quote", "q1", 2000));
+    assert_eq!(answer, "value of q1");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", ingress.child.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    let peak: usize = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(peak < 14_000, "{peak} kB");
+}
+
 #[test]
 fn malformed_input_gets_an_error_and_a_close_behind_what_was_asked_before() {
     let backend = Backend::start(|args| Act::Later(Duration::from_millis(100), served(args)));
@@ -324,11 +476,11 @@
     for bad in
         ["PING\r\n", "*1\r\n$70000\r\n", "*2000000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx", "\0\0\0"]
     {
-        let mut client = ingress.client();
-        client.send(&call("quote", "q1", 900));
+        let (mut client, id) = (ingress.client(), new_id());
+        client.send(&call("quote", &id, 900));
         // What follows is more than the kernel would forgive at a close with unread bytes.
         client.send(&[bad.as_bytes(), &[b'x'; 40_000]].concat());
-        assert_eq!(client.answer(), "value of q1", "{bad:?}");
+        assert_eq!(client.answer(), format!("value of {id}"), "{bad:?}");
         assert!(client.answer().starts_with("-ERR protocol error"), "{bad:?}");
         assert!(client.ended(), "{bad:?}");
     }
@@ -487,6 +639,24 @@
     assert!(!ingress.log().contains("panicked"));
 }
 
+/// Guards against a request that is still out when SIGKILL comes, 0.7 s after the longest deadline but no later
+/// than 3.7 s: by then it has failed, or it is lost.
+#[test]
+fn what_is_still_out_when_the_time_to_stop_is_over_has_failed() {
+    let silent = Backend::start(|_| Act::Silent);
+    let mut ingress = Setup::of(&[&silent]).start();
+    let mut client = ingress.client();
+    client.send(&call("refer", "r1", 7900));
+    until("it is sent", || silent.count() == 1);
+    let start = Instant::now();
+    ingress.signal("TERM");
+    assert_eq!(client.answer(), "-ERR failed");
+    assert_eq!(ingress.exit().code(), Some(0));
+    let took = start.elapsed();
+    assert!(took > Duration::from_secs(3), "it gave up after {took:?}");
+    assert!(took < Duration::from_millis(4500), "it took {took:?}");
+}
+
 /// A client that never ends its request must not keep a stopping ingress.
 #[test]
 fn half_a_request_does_not_hold_up_the_end() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -115,6 +115,8 @@
 pub enum Act {
     Say(Vec<u8>),
     Later(Duration, Vec<u8>),
+    /// The first so many bytes, and a moment later the rest.
+    Parts(usize, Vec<u8>),
     Silent,
     /// Ends the connection.
     Hang,
@@ -185,6 +187,10 @@
                     thread::sleep(pause);
                     stream.write_all(&bytes)
                 }
+                Act::Parts(at, bytes) => stream.write_all(&bytes[..at]).and_then(|()| {
+                    thread::sleep(Duration::from_micros(300));
+                    stream.write_all(&bytes[at..])
+                }),
                 Act::Silent => Ok(()),
                 Act::Hang => return,
             };
@@ -354,6 +360,7 @@
     pub known: Vec<String>,
     pub discovery: Option<SocketAddr>,
     pub sockets: usize,
+    pub memory_mb: usize,
     /// A limit of the system's own, in place of the one that the configuration tells.
     pub ulimit: Option<usize>,
     pub settings: String,
@@ -365,15 +372,24 @@
     pub fn of(backends: &[&Backend]) -> Setup {
         let known = backends.iter().enumerate().map(|(n, b)| b.entry(&format!("s-{n}"), "up")).collect();
         let settings = SETTINGS.replace("PEERS", "false");
-        Setup { known, discovery: None, sockets: 1024, ulimit: None, settings, more: String::new() }
+        Setup {
+            known,
+            discovery: None,
+            sockets: 1024,
+            memory_mb: 192,
+            ulimit: None,
+            settings,
+            more: String::new(),
+        }
     }
 
     pub fn config(&self, at: SocketAddr) -> String {
         let discovery = self.discovery.unwrap_or_else(|| "127.0.0.1:1".parse().unwrap());
         format!(
             r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{}
+ "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{}
  "known":{},"settings":{}}}"#,
+            self.memory_mb,
             self.sockets,
             self.more,
             list(1, true, &self.known),
