--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -22,6 +22,40 @@
 /// How long the rest of an answer may take to come once it has begun.
 const PATIENCE: Micros = 500_000;
 
+/// A reset that comes this soon after a request says that the connection was dead already.
+const AT_ONCE: Micros = 10_000;
+/// The share of uses that may end like that after some time of idleness, and how many say anything.
+const STALE_SHARE: f64 = 0.2;
+const STALE_LEAST: f64 = 3.0;
+/// What is left of that record from one sweep to the next: half in some ten seconds.
+const STALE_KEEP: f64 = 0.97;
+
+/// How connections fare that are used again, by how long they were idle: on some networks one that is idle for a
+/// fraction of a second is dead, and says so only under the next request, which may have run then.
+#[derive(Default)]
+struct Staleness {
+    /// Uses, and how many were reset at once; the place is the logarithm of the idle milliseconds.
+    uses: [(f64, f64); 16],
+}
+
+impl Staleness {
+    fn note(&mut self, idle: Micros, dead: bool) {
+        let place = (idle / 1000).max(1).ilog2() as usize;
+        let (all, bad) = &mut self.uses[place.min(15)];
+        (*all, *bad) = (*all + 1.0, *bad + f64::from(u8::from(dead)));
+    }
+
+    /// How long a connection may be idle and still be used.
+    fn limit(&self) -> Micros {
+        let stale = |u: &(f64, f64)| u.0 >= STALE_LEAST && u.1 > u.0 * STALE_SHARE;
+        self.uses.iter().position(stale).map_or(Micros::MAX, |place| 1000 << place)
+    }
+
+    fn fade(&mut self) {
+        self.uses.iter_mut().for_each(|u| (u.0, u.1) = (u.0 * STALE_KEEP, u.1 * STALE_KEEP));
+    }
+}
+
 /// What a connection is busy with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -56,6 +90,8 @@
     work: Option<Work>,
     /// When its work began, or when it fell idle.
     since: Micros,
+    /// How long it was idle before; none on its first use.
+    idled: Option<Micros>,
     /// When its answer began to come.
     heard: Micros,
     out: Vec<u8>,
@@ -94,6 +130,7 @@
     chunk: Vec<u8>,
     /// Idle connections are closed after this, before the backend does.
     idle_for: Micros,
+    staleness: Staleness,
     tokens: fn(usize) -> Token,
     /// What ended since it was last looked at, in order.
     pub done: Vec<Done>,
@@ -146,6 +183,7 @@
             chunk: vec![0; CHUNK],
             // Where both ends close at the same moment a request may be written to a dead connection.
             idle_for: keepalive / 5 * 4,
+            staleness: Staleness::default(),
             tokens,
             done: Vec::new(),
         }
@@ -188,7 +226,9 @@
     }
 
     fn newest_rested(&self, pool: &Pool, now: Micros) -> Option<usize> {
-        pool.idle.iter().rposition(|key| now >= self.conns[*key].since + REST)
+        let most = self.staleness.limit();
+        let idle = |key: usize| now.saturating_sub(self.conns[key].since);
+        pool.idle.iter().rposition(|key| (REST..most).contains(&idle(*key)))
     }
 
     /// Takes the newest idle connection to a backend that has rested and has nothing unread.
@@ -198,7 +238,11 @@
             let key = self.pools.get_mut(&backend)?.idle.remove(at);
             // Nobody asked for what is there, or the backend has closed. Its descriptor serves the next one.
             match self.conns[key].stream.read(&mut [0]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(key),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    let conn = &mut self.conns[key];
+                    conn.idled = Some(now.saturating_sub(conn.since));
+                    return Some(key);
+                }
                 _ => drop(self.conns.remove(key)),
             }
         }
@@ -251,6 +295,7 @@
             connected: false,
             work: None,
             since: now,
+            idled: None,
             heard: 0,
             out: Vec::new(),
             written: 0,
@@ -270,7 +315,7 @@
     /// Ends a connection that has not come up in time.
     pub fn connect_overdue(&mut self, link: Link) {
         if self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.connected) {
-            self.end(link.key, Outcome::ConnectFailed, Vec::new(), None);
+            self.end(link.key, Outcome::ConnectFailed, Vec::new(), None, Micros::MAX);
             self.remove(link.key);
         }
     }
@@ -283,9 +328,14 @@
     }
 
     /// Notes how a connection's work ended.
-    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<Report>) {
+    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<Report>, now: Micros) {
         let conn = &mut self.conns[key];
         if let Some(work) = conn.work {
+            let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
+            let dead = broken && conn.buf.is_empty() && now <= conn.since + AT_ONCE;
+            if let Some(idle) = conn.idled.filter(|_| dead || !broken) {
+                self.staleness.note(idle, dead);
+            }
             let (backend, began) = (conn.backend, conn.since);
             self.done.push(Done { work, backend, outcome, began, report, value });
         }
@@ -309,7 +359,7 @@
                     let (serial, since) = (conn.serial, conn.since);
                     self.read(key, since, true);
                     if self.conns.get(key).is_some_and(|c| c.serial == serial) {
-                        self.end(key, Outcome::ConnectFailed, Vec::new(), None);
+                        self.end(key, Outcome::ConnectFailed, Vec::new(), None, since);
                         self.remove(key);
                     }
                     return;
@@ -355,14 +405,14 @@
                 }
                 Ok(_) | Err(_) => {
                     let outcome = conn.broken();
-                    self.end(key, outcome, Vec::new(), None);
+                    self.end(key, outcome, Vec::new(), None, now);
                     return self.remove(key);
                 }
             }
         }
         // No answer is that long, and a backend that sends without end is not waited for.
         let outcome = self.conns[key].broken();
-        self.end(key, outcome, Vec::new(), None);
+        self.end(key, outcome, Vec::new(), None, now);
         self.remove(key);
     }
 
@@ -375,7 +425,7 @@
             Ok(Some(found)) => found,
             Err(_) => {
                 let outcome = conn.broken();
-                self.end(key, outcome, Vec::new(), None);
+                self.end(key, outcome, Vec::new(), None, now);
                 return false;
             }
         };
@@ -385,7 +435,7 @@
         let broken = conn.broken();
         let clean = judged.is_some() && conn.sent() && end == conn.buf.len();
         let (outcome, value, report) = judged.unwrap_or((broken, Vec::new(), None));
-        self.end(key, outcome, value, report);
+        self.end(key, outcome, value, report, now);
         let conn = &mut self.conns[key];
         let pool = self.pools.get_mut(&conn.backend).filter(|p| p.address == Some(conn.address));
         let Some(pool) = pool.filter(|_| clean) else { return false };
@@ -405,7 +455,9 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&mut self, now: Micros) {
-        let old = |c: &Conn| c.work.is_none() && now > c.since + self.idle_for;
+        self.staleness.fade();
+        let most = self.idle_for.min(self.staleness.limit());
+        let old = |c: &Conn| c.work.is_none() && now.saturating_sub(c.since) > most;
         let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
         old.into_iter().for_each(|key| self.remove(key));
         // An answer that began and goes no further will not be whole: a line or a length without an end.
@@ -413,7 +465,7 @@
         let stuck: Vec<usize> = self.conns.iter().filter(|(_, c)| stuck(c)).map(|(key, _)| key).collect();
         for key in stuck {
             let outcome = self.conns[key].broken();
-            self.end(key, outcome, Vec::new(), None);
+            self.end(key, outcome, Vec::new(), None, now);
             self.remove(key);
         }
     }
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -272,6 +272,28 @@
     assert_eq!(backend.count(), 5);
 }
 
+/// Guards against connections that are dead after a moment of idleness and say so only under the next request:
+/// a request that must not run twice fails with each. They are found out by how long they were idle.
+#[test]
+fn connections_that_die_of_idleness_are_found_out() {
+    let backend = Backend::start(serve);
+    backend.seen.stale_ms.store(40, Ordering::SeqCst);
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let mut ask = |pause| {
+        thread::sleep(Duration::from_millis(pause));
+        let id = new_id();
+        client.ask(&call("refer", &id, 2000)) == format!("value of {id}")
+    };
+    let served = (0..30).filter(|_| ask(80)).count();
+    assert!(served >= 22, "{served} of 30 served");
+    assert!((0..10).all(|_| ask(80)), "found out by now");
+    // Those that were idle for less are used on.
+    let before = backend.seen.opened.load(Ordering::SeqCst);
+    assert!((0..10).filter(|_| ask(8)).count() >= 9);
+    assert!(backend.seen.opened.load(Ordering::SeqCst) <= before + 3, "each request has a new one");
+}
+
 #[test]
 fn idle_connections_are_closed_before_the_backend_does() {
     let backend = Backend::start(serve);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -139,6 +139,8 @@
     pub ended: AtomicUsize,
     /// Closes all connections that have nothing to do.
     pub hang_up: AtomicBool,
+    /// Resets a connection at a request that comes after it was idle for so many milliseconds; 0 for never.
+    pub stale_ms: AtomicU64,
 }
 
 pub struct Backend {
@@ -166,6 +168,7 @@
 
     fn talk(mut stream: TcpStream, seen: &Seen, act: &dyn Fn(&[String]) -> Act) {
         let _ = stream.set_nodelay(true);
+        let mut answered: Option<Instant> = None;
         loop {
             stream.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
             match stream.peek(&mut [0]) {
@@ -179,6 +182,10 @@
                 _ => return,
             }
             stream.set_read_timeout(None).unwrap();
+            let stale = Duration::from_millis(seen.stale_ms.load(Ordering::SeqCst));
+            if !stale.is_zero() && answered.is_some_and(|at| at.elapsed() > stale) {
+                return;
+            }
             let Some(args) = read_value(&mut stream) else { return };
             seen.commands.lock().unwrap().push(args.clone());
             let said = match act(&args) {
@@ -197,6 +204,7 @@
             if said.is_err() {
                 return;
             }
+            answered = Some(Instant::now());
         }
     }
 
