A customer that comes back to a gateway is not charged for all its past

When its use comes back to that peer, the peer's whole count since its start passes for new use; since gateways that start together trust first counts, that empties the store (level -burst), and without that trust "told less used" took off all that this gateway ever let through itself. The test in small (30 s at one gateway, 30 s at another, one request at the first) gets 0 of 3 requests served without the mend, at a store that is all but full.

Now in fleets where all of a set are homes (small ones) counts are kept as long as the customer is, and first counts are trusted for the first 10 s only.

--- a/src/control.rs
+++ b/src/control.rs
@@ -110,12 +110,7 @@
             Event::Request(req) => self.on_request(req, act),
             Event::Settled { .. } => self.on_settled(event, act),
             Event::Withdrawn(id) => self.on_gone(id, act),
-            Event::FirstByte { id, attempt } => {
-                if let Some(o) = self.requests.get_mut(&id) {
-                    o.call_off(Some(attempt), self.s.limits.cancel, act);
-                    o.streaming = true;
-                }
-            }
+            Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, act),
             Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
             Event::Roster(kind, list) => self.on_roster(kind, list, act),
             Event::Timer(_) if self.now < self.wake_at => return,
@@ -719,7 +714,7 @@
 
     /// What is done once a second: what is long out is told again, what is old is forgotten.
     fn sweep(&mut self, act: &mut Vec<Action>) {
-        let (now, plans, mut again) = (self.now, &self.s.plans, Vec::new());
+        let (now, plans, few, mut again) = (self.now, &self.s.plans, self.period > 0, Vec::new());
         if now < self.sweep_at {
             return;
         }
@@ -734,7 +729,8 @@
             if p.open_cap > 0 && c.open > 0 {
                 again.push(*id);
             }
-            c.heard.retain(|_, h| now - h.at <= 2 * AGING);
+            // Their counts go on: once forgotten, all that one let through would pass for new.
+            c.heard.retain(|_, h| few || now - h.at <= 2 * AGING);
             // Kept until both stores are full for sure: a customer met anew starts with full ones.
             let full = (p.burst / p.rate).max(p.ceiling_burst / p.ceiling_rate).clamp(0.0, 1e6); // NaN: 0 / 0
             c.open > 0 || !c.held.is_empty() || now - c.seen <= 2 * AGING.max((full * SECOND) as Micros)
@@ -802,7 +798,8 @@
 
     /// A gateway told its use of a customer; the answer if it asked.
     fn on_use(&mut self, from: u16, younger: bool, u: Use) -> Option<News> {
-        let (now, life, young) = (self.now, self.life(), self.known_since.is_none());
+        let (now, life) = (self.now, self.life());
+        let young = self.known_since.is_none() && now - self.born < AGING; // later one may have forgotten
         let plan = self.s.plans.get(usize::from(u.plan))?;
         let (burst, cap, told) = (plan.burst, plan.open_cap, f64::from(u.level) / 254.0 * plan.burst);
         let level = if u.level < 255 && !young { told } else { (plan.rate * life).min(burst) };
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,6 +227,14 @@
         }
     }
 
+    /// An answer streams: the other attempts are called off, and this one is the client's.
+    pub(crate) fn on_first_byte(&mut self, id: RequestId, attempt: u16, act: &mut Vec<Action>) {
+        if let Some(o) = self.requests.get_mut(&id) {
+            o.call_off(Some(attempt), self.s.limits.cancel, act);
+            o.streaming = true;
+        }
+    }
+
     /// Sends a peer a message, with the latest samples.
     pub(crate) fn post(&mut self, to: u16, body: Body, act: &mut Vec<Action>) {
         let samples = self.samples.iter().map(|s| s.1).collect();
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -486,6 +486,29 @@
     assert!(reborn <= 3, "{reborn} of a burst of 6 by one that knows nothing of the time before");
 }
 
+/// Guards against taking all that a gateway ever let through for new because it was silent on the customer for a
+/// while: on long days customers move between gateways, and each move emptied their store.
+#[test]
+fn a_customer_that_comes_back_to_a_gateway_is_not_charged_for_all_its_past() {
+    let mut fleet = Fleet::new(3);
+    let ask = |fleet: &mut Fleet, at: usize, pause: Micros| {
+        let (_, actions) = fleet.rigs[at].ask_of(0, 1, 5, 1.0, 3.0);
+        let sent = fleet.carry(at, actions, 0);
+        for n in 0..3 {
+            let actions = fleet.rigs[n].pass(pause);
+            fleet.carry(n, actions, 0);
+        }
+        sent
+    };
+    let through =
+        |fleet: &mut Fleet, at, times, pause| (0..times).map(|_| ask(fleet, at, pause)).sum::<usize>();
+    // One unit a second, of two that the quota has: at one gateway, then at another, then at both.
+    assert!(through(&mut fleet, 0, 30, S) >= 29);
+    assert_eq!(through(&mut fleet, 2, 30, S), 30);
+    assert_eq!(through(&mut fleet, 0, 1, S / 2), 1);
+    assert_eq!(through(&mut fleet, 2, 3, S / 2), 3, "its store is all but full");
+}
+
 /// Most of a ceiling lies with two of its gateways: a busy one gets far more than an even share.
 #[test]
 fn a_busy_gateway_gets_the_ceiling_that_others_leave() {
