--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -168,6 +168,8 @@
     /// Connections are closed as soon as they are between requests.
     draining: bool,
     lingering: usize,
+    /// When the latest connection came.
+    pub accepted_at: Micros,
     surplus: usize,
     /// What all of them hold in memory, and may.
     held: usize,
@@ -192,6 +194,7 @@
             again: Vec::new(),
             draining: false,
             lingering: 0,
+            accepted_at: 0,
             surplus: 0,
             held: 0,
             memory,
@@ -249,6 +252,7 @@
         }
         let _ = stream.set_nodelay(true); // an answer is one write: there is nothing to wait for
         self.serial += 1;
+        self.accepted_at = now;
         self.lingering += usize::from(surplus);
         self.surplus += usize::from(surplus);
         place.insert(Client {
@@ -597,10 +601,15 @@
         }
     }
 
-    /// Takes no new connections, and closes those that there are between requests.
-    pub fn drain(&mut self, now: Micros) {
-        (self.listener, self.draining) = (None, true);
-        let idle: Vec<usize> = self.conns.iter().filter(|(_, c)| c.idle()).map(|(key, _)| key).collect();
+    /// Closes connections between requests from now on, those as well that have not said anything yet and takes
+    /// no new ones, unless some are still `coming`.
+    pub fn drain(&mut self, now: Micros, coming: bool) {
+        self.draining = true;
+        if !coming {
+            self.listener = None;
+        }
+        let idle = self.conns.iter().filter(|(_, c)| c.idle() && (c.spoke() || !coming));
+        let idle: Vec<usize> = idle.map(|(key, _)| key).collect();
         idle.into_iter().for_each(|key| self.close_if_silent(key, now));
     }
 }
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -41,8 +41,11 @@
 const MOST_EIGHTHS: usize = 6;
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
-/// How long connections are still accepted once told to stop: new ones come for up to 0.4 s.
+/// How long connections are still accepted once told to stop: new ones come for up to 0.4 s, and from those who have
+/// not heard of it for longer. Then for as long as the latest is no older than this, and how often that is looked at.
 const STILL_ACCEPTING: Micros = 500_000;
+const STILL_COMING: Micros = 300_000;
+const LOOK_AGAIN: Micros = 100_000;
 /// How long after that a client that says nothing whole is still waited for.
 const LAST_WAIT: Micros = 1_000_000;
 /// How long after it is told to stop the last of its requests have failed, besides their longest deadline or this
@@ -160,6 +163,8 @@
     peers_more: bool,
     /// How long it serves once told to stop.
     last_answer: Micros,
+    /// When it is over with all, once told to stop.
+    last_at: Micros,
     /// Told to stop, and when the connections were begun to be closed.
     stopping: bool,
     closing_since: Option<Micros>,
@@ -244,6 +249,7 @@
             accept_more: false,
             peers_more: false,
             last_answer: longest.min(LONGEST_DEADLINE) + LAST_ANSWER,
+            last_at: Micros::MAX,
             stopping: false,
             closing_since: None,
         };
@@ -372,7 +378,8 @@
         if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
             crate::log("stopping: answering what has been taken");
             self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
-            self.timers.push(Reverse((self.now + self.last_answer, Due::Last)));
+            self.last_at = self.now + self.last_answer;
+            self.timers.push(Reverse((self.last_at, Due::Last)));
         }
     }
 
@@ -485,8 +492,14 @@
                 Due::Reload => self.reload(),
                 Due::Close => {
                     self.accept(); // those that the kernel took in meanwhile are ours as well
-                    self.closing_since = Some(self.now);
-                    self.clients.drain(self.now);
+                    let coming = self.now < self.clients.accepted_at + STILL_COMING;
+                    let coming = coming && self.now + STILL_ACCEPTING < self.last_at;
+                    self.clients.drain(self.now, coming);
+                    if coming {
+                        self.timers.push(Reverse((self.now + LOOK_AGAIN, Due::Close)));
+                    } else {
+                        self.closing_since = Some(self.now);
+                    }
                     self.take_incoming();
                 }
                 Due::Last => {
@@ -698,6 +711,7 @@
         }
         let waited = self.now - since;
         // Half a request, or answers that nobody reads, must not keep it until it is killed.
-        self.clients.len() == 0 || (waited > LAST_WAIT && self.clients.busy() == 0) || waited > LAST_READ
+        let quiet = waited > LAST_WAIT && self.clients.busy() == 0;
+        self.clients.len() == 0 || quiet || waited > LAST_READ || self.now >= self.last_at
     }
 }
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -661,6 +661,22 @@
     assert!(!ingress.log().contains("panicked"));
 }
 
+/// Guards against a port that is closed while clients still come, who have not heard that it stops: each was refused.
+#[test]
+fn told_to_stop_it_accepts_for_as_long_as_clients_come() {
+    let backend = Backend::start(serve);
+    let mut ingress = Setup::of(&[&backend]).start();
+    ingress.signal("TERM");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1800) {
+        let id = new_id();
+        let mut client = ingress.client();
+        assert_eq!(client.ask(&call("quote", &id, 900)), format!("value of {id}"), "{:?}", start.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
 /// Guards against a request that is still out when SIGKILL comes, 0.7 s after the longest deadline but no later
 /// than 3.7 s: by then it has failed, or it is lost.
 #[test]
