Move the program to packages by concern under crates/

Need: everything sat in one crate under an old name, with the tests' stand-ins out of reach of other packages. The simulator's host is wrenfork-adapter.

--- a/src/bin/chalkgap-simhost/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,10 +2,11 @@
 
 mod wire;
 
-use chalkgap::{conf::Conf, Action, Event, Gateway, Settings};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
+use wrenfork_config::settings::Conf;
+use wrenfork_decision::{Action, Event, Gateway, Settings};
 
 fn read_frame(input: &mut impl Read) -> Result<Option<Vec<u8>>, String> {
     let mut frame = vec![0u8; wire::EVENT_HEADER];
@@ -80,7 +81,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("chalkgap-simhost: {message}");
+            eprintln!("wrenfork-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/chalkgap-simhost/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,10 +1,11 @@
 //! The simulator's frames: reading batches, writing replies. Every length and offset is checked.
 
-use chalkgap::{
-    conf::note_field, Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report,
-    Request, RequestId, RosterKind,
-};
 use std::collections::BTreeMap;
+use wrenfork_config::settings::note_field;
+use wrenfork_decision::{
+    Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report, Request,
+    RequestId, RosterKind,
+};
 
 /// Bytes of a batch's header.
 pub const EVENT_HEADER: usize = 20;
--- a/tests/simhost.rs
+++ b/crates/adapter/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_chalkgap-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_wrenfork-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/conf.rs
+++ b/crates/config/src/settings.rs
@@ -2,10 +2,10 @@
 //! here: the simulator's adapter from lines of text, the real ingress from nested JSON that it flattens to the
 //! same paths. Unknown keys are skipped, missing or bad ones named.
 
-use crate::{
+use std::collections::HashMap;
+use wrenfork_decision::{
     Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Report, Rules, Settings, SizeMeaning,
 };
-use std::collections::HashMap;
 
 /// The settings as they came: values by path, such as `grades.0.worth`.
 pub struct Conf(HashMap<String, String>);
--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,11 +1,11 @@
-//! chalkgap decides for an admission gateway of a service sold by plan: which requests to let in, which backend
+//! Decides for an admission gateway of a service sold by plan: which requests to let in, which backend
 //! gets them, when to try again, what to tell the peers. It does no input or output and reads no clock: the
 //! host feeds [`Event`]s with the time and carries out the [`Action`]s that come back, in their order.
 //!
 //! One request, from its arrival to its answer:
 //!
 //! ```
-//! use chalkgap::*;
+//! use wrenfork_decision::*;
 //!
 //! let plan = Plan {
 //!     rate: 10.0, burst: 20.0, open_cap: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0,
@@ -43,7 +43,6 @@
 //! assert!(actions.is_empty(), "the answer went to the client; nothing is left to do");
 //! ```
 
-pub mod conf;
 mod control;
 mod gossip;
 mod interface;
--- a/tests/control.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1,6 +1,6 @@
 //! The module by events and actions: no bench, no simulator.
 
-use chalkgap::*;
+use wrenfork_decision::*;
 
 const T0: Micros = 1_000_000_000;
 const S: Micros = 1_000_000;
--- a/tests/hostile.rs
+++ b/crates/decision/tests/hostile.rs
@@ -1,9 +1,9 @@
 //! Properties over arbitrary legal and hostile sequences of events, with a fixed seed.
 
-use chalkgap::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
+use wrenfork_decision::*;
 
 const T0: Micros = 50_000_000;
 
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,3 @@
+//! A fleet of stand-ins on loopback addresses, for tests and demonstrations.
+
+pub mod small;
--- a/tests/support/mod.rs
+++ b/crates/fleet/src/small.rs
@@ -1,6 +1,6 @@
 //! What the ingress meets in service, in small: clients, backends and discovery on loopback sockets. Each test has
 //! a loopback address of its own, so that no other test can be in the way.
-#![allow(missing_docs, dead_code)]
+#![allow(missing_docs)]
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -365,6 +365,8 @@
  "membership_mode":"push","weights":"nominal","reporting":{"how":"answers","fields":["load_share"]}}"#;
 
 pub struct Setup {
+    /// The built program's file.
+    pub program: String,
     pub known: Vec<String>,
     pub discovery: Option<SocketAddr>,
     pub sockets: usize,
@@ -377,10 +379,12 @@
 }
 
 impl Setup {
-    pub fn of(backends: &[&Backend]) -> Setup {
+    /// Round an ingress that runs the program in a file.
+    pub fn of(program: &str, backends: &[&Backend]) -> Setup {
         let known = backends.iter().enumerate().map(|(n, b)| b.entry(&format!("s-{n}"), "up")).collect();
         let settings = SETTINGS.replace("PEERS", "false");
         Setup {
+            program: program.to_string(),
             known,
             discovery: None,
             sockets: 1024,
@@ -407,7 +411,7 @@
 
     pub fn start(&self) -> Ingress {
         let limit = self.ulimit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
-        self.start_with(&(limit + &own_program()))
+        self.start_with(&format!("{limit}exec '{}'", self.program))
     }
 
     /// Starts an ingress by a shell command.
@@ -421,11 +425,6 @@
     }
 }
 
-/// The shell command for the program as it was built for the tests.
-pub fn own_program() -> String {
-    format!("exec '{}'", env!("CARGO_BIN_EXE_wrenfork"))
-}
-
 pub struct Ingress {
     pub at: SocketAddr,
     pub child: Child,
--- a/src/bin/wrenfork/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -2,14 +2,15 @@
 //! request at a time, for calling an attempt off means closing its connection.
 
 use crate::discovery::Roster;
-use crate::resp::{self, Element, Kind, Reply};
-use chalkgap::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use wrenfork_config::settings::note_field;
+use wrenfork_decision::{Availability, BackendId, Micros, Outcome, Report, RequestId};
+use wrenfork_wire::resp::{self, Element, Kind, Reply};
 
 /// Bytes read at once.
 const CHUNK: usize = 32 * 1024;
--- a/src/bin/wrenfork/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -1,8 +1,5 @@
 //! The clients' side: the listener, the connections, and the answers in the order of their requests.
 
-use crate::call::{Call, Vocabulary};
-use crate::resp;
-use chalkgap::{Micros, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -10,6 +7,9 @@
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 use std::ops::Range;
+use wrenfork_decision::{Micros, RequestId};
+use wrenfork_wire::call::{Call, Vocabulary};
+use wrenfork_wire::resp;
 
 /// Bytes read at once, and reads from one connection in a turn: a fast client must not hold up the others.
 const CHUNK: usize = 16 * 1024;
--- a/src/bin/wrenfork/config.rs
+++ b/crates/ingress/src/config.rs
@@ -1,10 +1,11 @@
 //! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
 
-use crate::call::Vocabulary;
 use crate::discovery::{Roster, Sites};
-use chalkgap::{conf::Conf, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use wrenfork_config::settings::Conf;
+use wrenfork_decision::{Micros, Settings};
+use wrenfork_wire::call::Vocabulary;
 
 /// What an ingress is told.
 pub struct Config {
--- a/src/bin/wrenfork/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -1,12 +1,12 @@
 //! Discovery: the list of backends, and the watch that keeps it fresh over HTTP/1.1. While discovery is silent or
 //! broken the list stays as it was, and the watch is begun anew with growing pauses.
 
-use chalkgap::{Availability, BackendId, Listed, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use serde_json::Value;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use wrenfork_decision::{Availability, BackendId, Listed, Micros};
 
 /// How long one call waits for news. Short, since the silence of a call can only be told once this is over.
 const WAIT: Micros = 2_000_000;
--- a/src/bin/wrenfork/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -3,16 +3,11 @@
 //! where a limit of the settings leaves no room to ask the module.
 
 use crate::backends::{Backends, Done, Link, Work};
-use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
 use crate::reload::Reload;
-use crate::resp;
-use chalkgap::{
-    Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
-};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -24,6 +19,11 @@
 use std::io;
 use std::io::Write;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wrenfork_decision::{
+    Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
+};
+use wrenfork_wire::call::Call;
+use wrenfork_wire::resp;
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
--- a/src/bin/wrenfork/main.rs
+++ b/crates/ingress/src/main.rs
@@ -1,14 +1,12 @@
 //! wrenfork, the real ingress: clients, backends, discovery and peers on sockets, round the decision module.
 
 mod backends;
-mod call;
 mod clients;
 mod config;
 mod discovery;
 mod ingress;
 mod peers;
 mod reload;
-mod resp;
 
 use std::io::Write;
 use std::process::ExitCode;
--- a/src/bin/wrenfork/peers.rs
+++ b/crates/ingress/src/peers.rs
@@ -1,10 +1,10 @@
 //! Messages between ingresses: UDP datagrams, known by the address they come from.
 
 use crate::config::PeerAddresses;
-use chalkgap::GatewayNo;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
 use std::io;
+use wrenfork_decision::GatewayNo;
 
 /// The most bytes of a message.
 const MOST: usize = 256;
--- a/src/bin/wrenfork/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -2,8 +2,8 @@
 //! over: all else is fixed from the start on.
 
 use crate::config::Config;
-use chalkgap::Micros;
 use std::net::SocketAddr;
+use wrenfork_decision::Micros;
 
 /// The first pause before a file that could not be read is read again, and the longest: it may be half written.
 const PAUSES: (Micros, Micros) = (50_000, 2_000_000);
--- a/tests/ingress.rs
+++ b/crates/ingress/tests/ingress.rs
@@ -1,12 +1,15 @@
 //! The real ingress by its sockets: the built binary between small backends, discovery, peers and clients.
 
-mod support;
-
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
-use support::*;
+use wrenfork_fleet::small::*;
+
+/// A setup round the program as it was built for the tests.
+fn setup(backends: &[&Backend]) -> Setup {
+    Setup::of(env!("CARGO_BIN_EXE_wrenfork"), backends)
+}
 
 fn refused(answer: &str) -> bool {
     answer.starts_with("-BUSY")
@@ -17,7 +20,7 @@
 #[test]
 fn a_request_goes_on_as_it_came_and_the_value_comes_back_as_it_was_given() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     let asked = command(&[
         "CALL.POST",
@@ -43,7 +46,7 @@
 #[test]
 fn one_connection_serves_requests_one_after_the_other() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..20 {
         assert_eq!(client.ask(&call("quote", &format!("q{n}"), 900)), format!("value of q{n}"));
@@ -55,7 +58,7 @@
 #[test]
 fn beyond_the_quota_a_request_is_refused_at_once_and_told_when_to_come_back() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     let mut refusals = Vec::new();
     for n in 0..12 {
@@ -102,7 +105,7 @@
 /// An unsafe request that a backend was given whole goes to nobody else, whatever becomes of it.
 fn may_have_run(bad: Backend) -> (Backend, String) {
     let good = Backend::start(serve);
-    let ingress = Setup::of(&[&bad, &good]).start();
+    let ingress = setup(&[&bad, &good]).start();
     let answer = answer_through(&ingress, "refer", &bad);
     let id = bad.seen.commands.lock().unwrap()[0][2].clone();
     assert!(good.seen.commands.lock().unwrap().iter().all(|c| c[2] != id), "it was sent again");
@@ -134,7 +137,7 @@
 fn an_answer_without_an_end_is_given_up() {
     for spoilt in [&b"*3\r\n$40000\r\nabc\r\n"[..], b"-ERR and so on", b"*3\r\n"] {
         let bad = Backend::start(|_| Act::Say(spoilt.to_vec()));
-        let ingress = Setup::of(&[&bad]).start();
+        let ingress = setup(&[&bad]).start();
         let start = Instant::now();
         assert_eq!(ingress.client().ask(&call("refer", "r1", 7000)), "-ERR failed");
         assert!(start.elapsed() < Duration::from_secs(4), "waited for {:?}", start.elapsed());
@@ -150,7 +153,7 @@
         twice.extend_from_slice(&served(args));
         Act::Parts(twice.len() / 2, twice)
     });
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..200 {
         assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
@@ -164,7 +167,7 @@
     for load in ["$3\r\n=,=\r\n", "$9\r\nutil=-1e9\r\n", "$8\r\nutil=nan\r\n", ":7\r\n", "+x\r\n"] {
         let answer = format!("*3\r\n$2\r\nok\r\n$-1\r\n{load}");
         let backend = Backend::start(move |_| Act::Say(answer.clone().into_bytes()));
-        let ingress = Setup::of(&[&backend]).start();
+        let ingress = setup(&[&backend]).start();
         assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "ok", "{load:?}");
     }
 }
@@ -178,7 +181,7 @@
 #[test]
 fn an_unsafe_request_without_an_answer_fails_before_the_client_gives_up() {
     let silent = Backend::start(|_| Act::Silent);
-    let ingress = Setup::of(&[&silent]).start();
+    let ingress = setup(&[&silent]).start();
     // The answer comes some 10 ms before the client's time is over: a busy machine may miss that once.
     let soonest = (0..4).map(|n| {
         let start = Instant::now();
@@ -195,7 +198,7 @@
 /// one after the other they would all go to the backend that answers.
 fn never_ran(bad: SocketAddr) -> Duration {
     let good = Backend::start(|args| Act::Later(Duration::from_millis(30), served(args)));
-    let mut setup = Setup::of(&[&good]);
+    let mut setup = setup(&[&good]);
     setup.known.push(entry("s-9", bad, "up"));
     let ingress = setup.start();
     let mut clients: Vec<Client> = (0..6).map(|_| ingress.client()).collect();
@@ -248,7 +251,7 @@
 fn a_safe_request_gets_a_second_copy_and_the_first_is_called_off() {
     let slow = Backend::start(|args| Act::Later(Duration::from_millis(5000), served(args)));
     let good = Backend::start(serve);
-    let ingress = Setup::of(&[&slow, &good]).start();
+    let ingress = setup(&[&slow, &good]).start();
     let answer = answer_through(&ingress, "quote", &slow);
     assert!(answer.starts_with("value of"), "{answer}");
     let id = slow.seen.commands.lock().unwrap()[0][2].clone();
@@ -260,7 +263,7 @@
 #[test]
 fn connections_that_a_backend_ended_are_not_used_again() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..5 {
         assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
@@ -278,7 +281,7 @@
 fn connections_that_die_of_idleness_are_found_out() {
     let backend = Backend::start(serve);
     backend.seen.stale_ms.store(40, Ordering::SeqCst);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     let mut ask = |pause| {
         thread::sleep(Duration::from_millis(pause));
@@ -297,7 +300,7 @@
 #[test]
 fn idle_connections_are_closed_before_the_backend_does() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     setup.settings = setup.settings.replace("15000000", "1000000");
     let ingress = setup.start();
     assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
@@ -309,7 +312,7 @@
 #[test]
 fn a_request_whose_client_has_gone_is_called_off() {
     let slow = Backend::start(|args| Act::Later(Duration::from_millis(300), served(args)));
-    let ingress = Setup::of(&[&slow]).start();
+    let ingress = setup(&[&slow]).start();
     let mut client = ingress.client();
     client.send(&call("refer", "r1", 5000));
     until("it is sent", || slow.count() == 1);
@@ -324,7 +327,7 @@
         "s" => Act::Later(Duration::from_millis(150), served(args)),
         _ => serve(args),
     });
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     let bad = command(&["GET", "x"]);
     client.send(&[call("save", "s1", 2000), call("quote", "q2", 900), bad, command(&["PING"])].concat());
@@ -342,7 +345,7 @@
 #[test]
 fn a_long_line_of_requests_is_read_to_its_end() {
     let slow = Backend::start(|args| Act::Later(Duration::from_millis(5), served(args)));
-    let ingress = Setup::of(&[&slow]).start();
+    let ingress = setup(&[&slow]).start();
     let mut client = ingress.client();
     let requests: Vec<u8> = (0..600).flat_map(|n| call("save", &format!("s{n}"), 3000)).collect();
     client.send(&requests);
@@ -356,7 +359,7 @@
 #[test]
 fn a_request_that_comes_byte_by_byte_is_served() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     for byte in call("save", "s1", 2500) {
         client.send(&[byte]);
@@ -368,7 +371,7 @@
 #[test]
 fn a_bad_request_gets_an_error_and_the_connection_goes_on() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     let good = String::from_utf8(call("quote", "q1", 900)).unwrap();
     for (from, to) in [
@@ -390,7 +393,7 @@
 #[test]
 fn what_is_out_of_range_reaches_no_backend() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     setup.settings = setup.settings.replace("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
     let ingress = setup.start();
     let good = String::from_utf8(call_of(4711, "quote", "q1", 900)).unwrap();
@@ -412,7 +415,7 @@
 #[test]
 fn an_id_that_is_open_already_is_an_error_and_does_not_disturb_the_first() {
     let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut first = ingress.client();
     first.send(&call("refer", "r1", 4000));
     until("it is sent", || backend.count() == 1);
@@ -431,7 +434,7 @@
 #[test]
 fn after_some_bad_commands_the_connection_is_closed() {
     let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     let mut client = ingress.client();
     client.send(&[call("quote", "q1", 900), command(&["GET", "x"]).repeat(300)].concat());
     assert_eq!(client.answer(), "value of q1");
@@ -444,7 +447,7 @@
 /// error or a close within 3 s. One that has spoken may stay.
 #[test]
 fn clients_that_say_nothing_whole_are_ended() {
-    let ingress = Setup::of(&[]).start();
+    let ingress = setup(&[]).start();
     let (mut usual, mut silent, mut half) = (ingress.client(), ingress.client(), ingress.client());
     let start = Instant::now();
     assert_eq!(usual.ask(&command(&["PING"])), "+PONG");
@@ -463,7 +466,7 @@
 /// Guards against an error that a reset takes away: the client is still sending when the connection is given up.
 #[test]
 fn a_huge_value_is_told_so_while_it_is_still_sent() {
-    let ingress = Setup::of(&[]).start();
+    let ingress = setup(&[]).start();
     let mut client = ingress.client();
     client.send(b"*1\r\n$60000000\r\n");
     for _ in 0..60 {
@@ -477,7 +480,7 @@
 #[test]
 fn half_commands_together_keep_to_the_memory() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     setup.memory_mb = 16;
     let ingress = setup.start();
     let half = [&b"*2\r\n$65536\r\n"[..], &[b'x'; 60_000]].concat();
@@ -494,7 +497,7 @@
 #[test]
 fn malformed_input_gets_an_error_and_a_close_behind_what_was_asked_before() {
     let backend = Backend::start(|args| Act::Later(Duration::from_millis(100), served(args)));
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = setup(&[&backend]).start();
     for bad in
         ["PING\r\n", "*1\r\n$70000\r\n", "*2000000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx", "\0\0\0"]
     {
@@ -514,7 +517,7 @@
 #[test]
 fn a_backend_that_drains_gets_nothing_new() {
     let (one, two, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
-    let mut setup = Setup::of(&[&one, &two]);
+    let mut setup = setup(&[&one, &two]);
     setup.discovery = Some(discovery.at);
     let ingress = setup.start();
     answer_through(&ingress, "quote", &one);
@@ -536,7 +539,7 @@
 #[test]
 fn a_backend_that_moved_is_found_at_its_new_address() {
     let (old, new, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
-    let mut setup = Setup::of(&[&old]);
+    let mut setup = setup(&[&old]);
     setup.discovery = Some(discovery.at);
     let ingress = setup.start();
     assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "value of r1");
@@ -549,7 +552,7 @@
 /// Without discovery the list stays as it is; once it is back, what changed meanwhile is heard.
 fn survives(fail: impl Fn(&Discovery, bool)) {
     let (one, two, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
-    let mut setup = Setup::of(&[&one]);
+    let mut setup = setup(&[&one]);
     setup.discovery = Some(discovery.at);
     let ingress = setup.start();
     until("the watch begins", || discovery.calls.load(Ordering::SeqCst) > 0);
@@ -582,7 +585,7 @@
 fn on_sighup_the_watch_moves_to_where_the_new_file_says() {
     let (one, two, three) = (Backend::start(serve), Backend::start(serve), Backend::start(serve));
     let (old, new) = (Discovery::start(), Discovery::start());
-    let mut setup = Setup::of(&[&one]);
+    let mut setup = setup(&[&one]);
     setup.discovery = Some(old.at);
     let mut ingress = setup.start();
     until("the old one is asked", || old.calls.load(Ordering::SeqCst) > 0);
@@ -615,7 +618,7 @@
 #[test]
 fn a_second_sighup_is_heeded_at_once() {
     let (one, two, new) = (Backend::start(serve), Backend::start(serve), Discovery::start());
-    let mut setup = Setup::of(&[&one]);
+    let mut setup = setup(&[&one]);
     let ingress = setup.start();
     ingress.configure("{");
     ingress.signal("HUP");
@@ -635,7 +638,7 @@
 #[test]
 fn told_to_stop_it_serves_all_that_was_taken_and_those_who_still_come() {
     let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
-    let mut ingress = Setup::of(&[&backend]).start();
+    let mut ingress = setup(&[&backend]).start();
     let idle = ingress.client();
     let mut taken: Vec<Client> = (0..8).map(|_| ingress.client()).collect();
     for (n, client) in taken.iter_mut().enumerate().take(4) {
@@ -665,7 +668,7 @@
 #[test]
 fn told_to_stop_it_accepts_for_as_long_as_clients_come() {
     let backend = Backend::start(serve);
-    let mut ingress = Setup::of(&[&backend]).start();
+    let mut ingress = setup(&[&backend]).start();
     ingress.signal("TERM");
     let start = Instant::now();
     while start.elapsed() < Duration::from_millis(1800) {
@@ -682,7 +685,7 @@
 #[test]
 fn what_is_still_out_when_the_time_to_stop_is_over_has_failed() {
     let silent = Backend::start(|_| Act::Silent);
-    let mut ingress = Setup::of(&[&silent]).start();
+    let mut ingress = setup(&[&silent]).start();
     let mut client = ingress.client();
     client.send(&call("refer", "r1", 7900));
     until("it is sent", || silent.count() == 1);
@@ -698,7 +701,7 @@
 /// A client that never ends its request must not keep a stopping ingress.
 #[test]
 fn half_a_request_does_not_hold_up_the_end() {
-    let mut ingress = Setup::of(&[]).start();
+    let mut ingress = setup(&[]).start();
     let mut client = ingress.client();
     client.send(b"*4\r\n$8\r\nCALL");
     assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
@@ -709,7 +712,7 @@
 /// Guards against waiting for a client that asks and never reads, until the ingress is killed with others' answers.
 #[test]
 fn answers_that_nobody_reads_do_not_hold_up_the_end() {
-    let mut ingress = Setup::of(&[]).start();
+    let mut ingress = setup(&[]).start();
     let mut client = ingress.client();
     client.0.set_nonblocking(true).unwrap();
     let (pings, mut stuck) = (command(&["PING"]).repeat(10_000), None);
@@ -750,7 +753,7 @@
 #[test]
 fn the_budget_of_descriptors_is_kept() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     setup.sockets = 64;
     crowd(&setup);
 }
@@ -759,7 +762,7 @@
 #[test]
 fn running_out_of_descriptors_is_survived() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     setup.ulimit = Some(40);
     crowd(&setup);
 }
@@ -768,7 +771,7 @@
 #[test]
 fn with_all_places_busy_one_more_is_told_so() {
     let slow = Backend::start(|_| Act::Silent);
-    let mut setup = Setup::of(&[&slow]);
+    let mut setup = setup(&[&slow]);
     setup.sockets = 64;
     let ingress = setup.start();
     let mut busy: Vec<Client> = (0..27).map(|_| ingress.client()).collect();
@@ -786,7 +789,7 @@
 #[test]
 fn peers_are_known_by_their_address_and_told_in_short() {
     let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let mut setup = setup(&[&backend]);
     let udp = || {
         let socket = UdpSocket::bind(place()).unwrap();
         socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
@@ -843,8 +846,9 @@
 #[ignore = "wants the command in WRENFORK_RUN"]
 fn the_deploy_command_starts() {
     let command = std::env::var("WRENFORK_RUN").expect("WRENFORK_RUN is the command");
+    let command = format!("cd '{}/../..' && {command}", env!("CARGO_MANIFEST_DIR"));
     let backend = Backend::start(serve);
-    let mut ingress = Setup::of(&[&backend]).start_with(&command);
+    let mut ingress = setup(&[&backend]).start_with(&command);
     assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
     ingress.signal("TERM");
     assert_eq!(ingress.exit().code(), Some(0));
@@ -853,7 +857,7 @@
 #[test]
 fn a_bad_configuration_is_told_by_its_key() {
     let at = place();
-    let good = Setup::of(&[]).config(at);
+    let good = setup(&[]).config(at);
     for (from, to, key) in [
         ("\"quota_rate\":1.5", "\"quota_rate\":\"much\"", "contracts.0.quota_rate"),
         ("\"tick_us\":4000,", "", "tick_us"),
@@ -865,7 +869,11 @@
         ("\"peers\":false", "\"peers\":true", "peers"),
         ("{", "", "JSON"),
     ] {
-        let mut ingress = Ingress::run(&good.replacen(from, to, 1), at, &own_program());
+        let mut ingress = Ingress::run(
+            &good.replacen(from, to, 1),
+            at,
+            concat!("exec '", env!("CARGO_BIN_EXE_wrenfork"), "'"),
+        );
         assert_eq!(ingress.exit().code(), Some(1), "{key}");
         let log = ingress.log();
         assert!(log.contains(key) && log.lines().count() == 1, "{key}: {log}");
--- a/src/bin/wrenfork/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,8 +1,8 @@
 //! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
 
 use crate::resp;
-use chalkgap::{CustomerId, Micros, Repeat, Request};
 use std::ops::Range;
+use wrenfork_decision::{CustomerId, Micros, Repeat, Request};
 
 /// The longest that a client may say it waits, in milliseconds.
 const MOST_WAIT_MS: u64 = 3_600_000;
@@ -177,7 +177,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use chalkgap::Group;
+    use wrenfork_decision::Group;
 
     fn words() -> Vocabulary {
         let keyed = Repeat::Keyed { group: Group::Cell, window: 3_000_000 };
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,4 @@
+//! The protocols of an ingress: bytes in, values out. No sockets and no clock.
+
+pub mod call;
+pub mod resp;
--- a/src/bin/wrenfork/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -28,25 +28,35 @@
 /// What an element of an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
+    /// `+`, a status.
     Simple,
+    /// `-`, an error.
     Error,
+    /// `:`, a whole number.
     Integer,
+    /// `$`, a string with its length.
     Bulk,
+    /// A string of length -1.
     Null,
 }
 
 /// An element of an answer: its text, and the whole of it with its head and end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Element {
+    /// Its kind.
     pub kind: Kind,
+    /// Where its text is.
     pub text: Range<usize>,
+    /// Where the whole of it is.
     pub whole: Range<usize>,
 }
 
 /// A backend's answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Reply {
+    /// A value that is no array.
     One(Element),
+    /// An array of values that are none.
     Array(Vec<Element>),
 }
 
