Split the loop's file: clock, timers, requests, room and shutdown on their own

Need: ingress.rs held clock, timers, signals, room for descriptors, open requests and shutdown in one struct of 717 lines. Change: five modules with one job each; the loop keeps its shape in 556 lines. Behaviour is unchanged.

--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -1,24 +1,27 @@
 //! The loop. It feeds the module what the sockets brought, carries out what the module asks for in that order,
-//! and owns the open requests and the timers. It decides nothing: no backend, no further attempt, no refusal but
-//! where a limit of the settings leaves no room to ask the module.
+//! and answers clients. It decides nothing: no backend, no further attempt, no refusal but where a limit of the
+//! settings leaves no room to ask the module. The open requests, the timers, the descriptors' budget and the end
+//! stand in modules of their own.
 
-use crate::backends::{Backends, Done, Link, Work};
-use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
+use crate::backends::{Backends, Done, Work};
+use crate::clients::{Accepted, Clients, Incoming, Origin};
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
 use crate::reload::Reload;
+use crate::requests::{Attempt, Place, Requests};
+use crate::room::Budget;
+use crate::shutdown::Shutdown;
+use crate::timers::{Due, Timers};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use std::cmp::Reverse;
-use std::collections::hash_map::RandomState;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::hash::BuildHasher;
+use std::collections::VecDeque;
 use std::io;
 use std::io::Write;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
 };
@@ -32,32 +35,10 @@
 /// From here on, even tokens are clients and odd ones backends.
 const FIRST: usize = 4;
 
-/// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
-/// peers, and some to spare for what is opened before another is closed.
-const OTHER_SOCKETS: usize = 20;
-/// Clients that are taken in beyond the budget, only to be told so.
-const MOST_SURPLUS: usize = 8;
-/// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
-const MOST_EIGHTHS: usize = 6;
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
-/// How long connections are still accepted once told to stop: new ones come for up to 0.4 s, and from those who have
-/// not heard of it for longer. Then for as long as the latest is no older than this, and how often that is looked at.
-const STILL_ACCEPTING: Micros = 500_000;
-const STILL_COMING: Micros = 300_000;
-const LOOK_AGAIN: Micros = 100_000;
-/// How long after that a client that says nothing whole is still waited for.
-const LAST_WAIT: Micros = 1_000_000;
-/// How long after it is told to stop the last of its requests have failed, besides their longest deadline or this
-/// much of it: SIGKILL may come 0.7 s after that.
-const LAST_ANSWER: Micros = 400_000;
-const LONGEST_DEADLINE: Micros = 3_000_000;
-/// How long an ingress told to stop waits, all in all, for clients to read their answers.
-const LAST_READ: Micros = 2_000_000;
 /// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
 const LONGEST_WAIT: Micros = 60_000_000;
-/// How long after its end the id of a request is still known: one that is new each time does not come again.
-const ID_KNOWN: Micros = 1_000_000;
 /// Time between looks at what has been idle for long.
 const SWEEP: Micros = 500_000;
 /// Time until accepting is tried again after there was no descriptor for it.
@@ -65,71 +46,6 @@
 /// What an answer may take on its way to the client, besides two ticks.
 const ON_THE_WAY: Micros = 2_000;
 
-/// The clock: monotonic, but counted from the same moment as Unix time, since backends' starts are told in that
-/// and peers compare theirs. It is set once; later steps of the system's clock do not reach it.
-struct Clock {
-    start: Instant,
-    offset: Micros,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset: unix.as_micros() as Micros }
-    }
-
-    fn now(&self) -> Micros {
-        self.offset + self.start.elapsed().as_micros() as Micros
-    }
-}
-
-/// What falls due at a time.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    /// The module's.
-    Module(u32),
-    /// An attempt is given up.
-    Expire(RequestId, u16),
-    /// A client's time is over.
-    Overdue(RequestId),
-    /// A connection should be up.
-    Connect(Link),
-    /// A probe is given up.
-    Probe(Link, BackendId, Micros),
-    Sweep,
-    Accept,
-    /// The configuration is to be read again.
-    Reload,
-    /// The time of accepting while stopping is over.
-    Close,
-    /// The time of answering while stopping is over.
-    Last,
-}
-
-struct Attempt {
-    backend: BackendId,
-    began: Micros,
-    /// Its connection, while it is out.
-    link: Option<Link>,
-}
-
-struct Open {
-    call: Call,
-    /// A hash of its id.
-    name: u64,
-    origin: Origin,
-    deadline: Micros,
-    attempts: Vec<Attempt>,
-    /// It has its final answer, or its client has gone.
-    over: bool,
-}
-
-impl Open {
-    fn out(&self) -> bool {
-        self.attempts.iter().any(|a| a.link.is_some())
-    }
-}
-
 /// The ingress.
 pub struct Ingress {
     poll: Poll,
@@ -139,8 +55,7 @@
     limits: Limits,
     asks_discovery: bool,
     connect_timeout: Micros,
-    sockets: usize,
-    memory: usize,
+    budget: Budget,
     gateway: Gateway,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -150,24 +65,11 @@
     reload: Reload,
     peers: Option<Peers>,
     signals: Signals,
-    requests: HashMap<RequestId, Open>,
-    /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
-    /// anew at each start.
-    names: HashSet<u64>,
-    ended: VecDeque<(Micros, u64)>,
-    hasher: RandomState,
-    /// The memory of the open requests.
-    held: usize,
-    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    requests: Requests,
+    timers: Timers,
     accept_more: bool,
     peers_more: bool,
-    /// How long it serves once told to stop.
-    last_answer: Micros,
-    /// When it is over with all, once told to stop.
-    last_at: Micros,
-    /// Told to stop, and when the connections were begun to be closed.
-    stopping: bool,
-    closing_since: Option<Micros>,
+    shutdown: Shutdown,
 }
 
 fn settled(
@@ -218,7 +120,10 @@
         let now = clock.now();
         let settings = config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let sockets = config.sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
+        let budget = Budget::new(config.sockets)?;
+        let requests = Requests::new(settings.limits.max_open as usize, config.memory / MEMORY_SHARE);
+        let mut timers = Timers::default();
+        timers.set(now + SWEEP, Due::Sweep);
         let mut ingress = Ingress {
             poll,
             clock,
@@ -227,8 +132,7 @@
             limits: settings.limits.clone(),
             asks_discovery: settings.discovery == Discovery::Ask,
             connect_timeout: config.connect_timeout,
-            sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {}", config.sockets))?,
-            memory: config.memory / MEMORY_SHARE,
+            budget,
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -240,18 +144,11 @@
             reload,
             peers,
             signals,
-            requests: HashMap::new(),
-            names: HashSet::new(),
-            ended: VecDeque::new(),
-            hasher: RandomState::new(),
-            held: 0,
-            timers: BinaryHeap::from([Reverse((now + SWEEP, Due::Sweep))]),
+            requests,
+            timers,
             accept_more: false,
             peers_more: false,
-            last_answer: longest.min(LONGEST_DEADLINE) + LAST_ANSWER,
-            last_at: Micros::MAX,
-            stopping: false,
-            closing_since: None,
+            shutdown: Shutdown::new(longest),
         };
         ingress.take_roster(config.known, RosterKind::Cached);
         ingress.pump();
@@ -280,7 +177,7 @@
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
             self.turn(&mut ready);
-            if self.stopping && self.may_exit() {
+            if self.may_exit() {
                 crate::log("stopped");
                 return Ok(());
             }
@@ -292,7 +189,7 @@
             return Duration::ZERO;
         }
         // Nothing falls due before there is a new clock.
-        let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0).min(self.watch.wake_at);
+        let timer = self.timers.next().min(self.watch.wake_at);
         Duration::from_micros(timer.max(self.now + self.tick).saturating_sub(self.clock.now()))
     }
 
@@ -375,11 +272,8 @@
             self.reload.asked();
             self.reload();
         }
-        if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
-            crate::log("stopping: answering what has been taken");
-            self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
-            self.last_at = self.now + self.last_answer;
-            self.timers.push(Reverse((self.last_at, Due::Last)));
+        if came.iter().any(|s| *s != SIGHUP) {
+            self.shutdown.begin(self.now, &mut self.timers);
         }
     }
 
@@ -387,34 +281,19 @@
     fn reload(&mut self) {
         match self.reload.read(self.now) {
             Ok(discovery) => self.watch.move_to(discovery, self.now),
-            Err(Some(at)) => self.timers.push(Reverse((at, Due::Reload))),
+            Err(Some(at)) => self.timers.set(at, Due::Reload),
             Err(None) => {}
         }
     }
 
-    /// The descriptors in use, and whether one more may be taken.
-    fn full(&self) -> bool {
-        self.clients.len() + self.backends.len() >= self.sockets
-    }
-
     fn accept(&mut self) {
-        let (budget, backends) = (self.sockets, &mut self.backends);
-        let room = |clients: &mut Clients| {
-            let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
-            let full = clients.len() >= share || all >= budget;
-            if !full || clients.close_oldest() || (clients.len() < share && backends.close_oldest()) {
-                Room::Free
-            } else if clients.surplus() < MOST_SURPLUS {
-                Room::Surplus
-            } else {
-                Room::None
-            }
-        };
+        let (budget, backends) = (self.budget, &mut self.backends);
+        let room = |clients: &mut Clients| budget.client(clients, backends);
         match self.clients.accept(self.poll.registry(), self.now, room) {
             Accepted::All => {}
             Accepted::More => self.accept_more = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
-            Accepted::NoRoom => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
+            Accepted::NoRoom => self.timers.set(self.now + ACCEPT_AGAIN, Due::Accept),
         }
         self.take_incoming();
     }
@@ -424,7 +303,7 @@
             match incoming {
                 Incoming::Call(id, origin, call) => self.take_call(id, origin, call),
                 Incoming::Gone(id) => {
-                    if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
+                    if let Some(open) = self.requests.owing(id) {
                         open.over = true;
                         self.events.push_back(Event::Withdrawn(id));
                     }
@@ -436,38 +315,26 @@
     }
 
     fn take_call(&mut self, id: RequestId, origin: Origin, call: Call) {
-        // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
-        let name = self.hasher.hash_one(call.id());
-        if self.names.contains(&name) {
-            return self.clients.reject(origin, "the id is not new");
-        }
-        let size = call.size();
-        if self.requests.len() >= self.limits.max_open as usize || self.held + size > self.memory {
+        let name = match self.requests.place(&call) {
+            Place::Free(name) => name,
+            Place::Taken => return self.clients.reject(origin, "the id is not new"),
             // Never let in, so trying again is harmless.
-            return self.clients.answer(origin, b"-BUSY\r\n");
-        }
+            Place::Full => return self.clients.answer(origin, b"-BUSY\r\n"),
+        };
         // The module's deadline is a little before the client's: the last answer has a way to go.
         let wait = call.wait.min(LONGEST_WAIT);
         let early = (2 * self.tick + ON_THE_WAY).min(wait / 4);
         let mut request = call.request;
         (request.id, request.deadline) = (id, self.now + wait - early);
-        self.timers.push(Reverse((request.deadline + early, Due::Overdue(id))));
-        self.held += size;
-        let (deadline, attempts) = (request.deadline, Vec::new());
-        self.names.insert(name);
-        self.requests.insert(id, Open { call, name, origin, deadline, attempts, over: false });
+        self.timers.set(request.deadline + early, Due::Overdue(id));
+        self.requests.insert(id, call, name, origin, request.deadline);
         self.events.push_back(Event::Request(request));
     }
 
     // ---- Time ----
 
     fn fire(&mut self) {
-        // Those set in this turn come in a later one.
-        let mut due = Vec::new();
-        while self.timers.peek().is_some_and(|t| t.0 .0 <= self.now) {
-            due.extend(self.timers.pop().map(|t| t.0 .1));
-        }
-        for one in due {
+        for one in self.timers.take(self.now) {
             match one {
                 Due::Module(token) => self.events.push_back(Event::Timer(token)),
                 Due::Expire(id, attempt) => self.expire(id, attempt),
@@ -483,28 +350,20 @@
                 Due::Sweep => {
                     self.backends.sweep(self.now);
                     self.clients.sweep(self.now);
-                    while self.ended.front().is_some_and(|e| e.0 <= self.now) {
-                        self.ended.pop_front().map(|e| self.names.remove(&e.1));
-                    }
-                    self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
+                    self.requests.sweep(self.now);
+                    self.timers.set(self.now + SWEEP, Due::Sweep);
                 }
                 Due::Accept => self.accept(),
                 Due::Reload => self.reload(),
                 Due::Close => {
                     self.accept(); // those that the kernel took in meanwhile are ours as well
-                    let coming = self.now < self.clients.accepted_at + STILL_COMING;
-                    let coming = coming && self.now + STILL_ACCEPTING < self.last_at;
+                    let latest = self.clients.accepted_at;
+                    let coming = self.shutdown.still_coming(self.now, latest, &mut self.timers);
                     self.clients.drain(self.now, coming);
-                    if coming {
-                        self.timers.push(Reverse((self.now + LOOK_AGAIN, Due::Close)));
-                    } else {
-                        self.closing_since = Some(self.now);
-                    }
                     self.take_incoming();
                 }
                 Due::Last => {
-                    let open: Vec<RequestId> = self.requests.keys().copied().collect();
-                    open.into_iter().for_each(|id| self.overdue(id));
+                    self.requests.ids().into_iter().for_each(|id| self.overdue(id));
                 }
             }
             self.pump();
@@ -518,7 +377,7 @@
     }
 
     fn abandon(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(bool) -> Outcome) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(open) = self.requests.get_mut(id) else { return };
         let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
         let Some(sent) = a.link.and_then(|link| self.backends.abandon(link)) else { return };
         a.link = None;
@@ -530,7 +389,7 @@
     /// A request without its final answer when the client's time is over is failed: the module should never let it
     /// come to this, but no client is left without a word.
     fn overdue(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|o| !o.over) {
+        if self.requests.owing(id).is_some() {
             self.answer(id, b"-ERR failed\r\n");
             self.events.push_back(Event::Withdrawn(id));
         }
@@ -560,14 +419,14 @@
             Work::Attempt(id, attempt) => (id, attempt),
             Work::Probe => return self.events.push_back(Event::Probed { backend, outcome, took, report }),
         };
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(open) = self.requests.get_mut(id) else { return };
         if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
             a.link = None;
         }
         if outcome == Outcome::Ok {
             self.answer(id, &value); // the first one is the final answer
         }
-        let complete = self.requests.get(&id).map_or(true, |o| o.over);
+        let complete = self.requests.get(id).map_or(true, |o| o.over);
         let (metered, charged) = (None, None);
         self.events.push_back(Event::Settled {
             id,
@@ -585,21 +444,15 @@
 
     /// Gives the final answer, once.
     fn answer(&mut self, id: RequestId, text: &[u8]) {
-        if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
+        if let Some(open) = self.requests.owing(id) {
             open.over = true;
             self.clients.answer(open.origin, text);
         }
         self.forget(id);
     }
 
-    /// Forgets a request that is over and has nothing out any more.
     fn forget(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
-            if let Some(open) = self.requests.remove(&id) {
-                self.held -= open.call.size();
-                self.ended.push_back((self.now + ID_KNOWN, open.name));
-            }
-        }
+        self.requests.forget(id, self.now);
     }
 
     fn carry_out(&mut self, action: Action) {
@@ -618,7 +471,7 @@
             Action::Fail(id) => self.answer(id, b"-ERR failed\r\n"),
             Action::Cancel { id, attempt } => self.abandon(id, attempt, |_| Outcome::Cancelled),
             Action::SetTimer { delay, token } => {
-                self.timers.push(Reverse((self.now.saturating_add(delay), Due::Module(token))));
+                self.timers.set(self.now.saturating_add(delay), Due::Module(token));
             }
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
@@ -640,7 +493,7 @@
     }
 
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
-        let Some(open) = self.requests.get_mut(&id) else {
+        let Some(open) = self.requests.get_mut(id) else {
             // Ended and forgotten: there is no attempt to count.
             return self.events.push_back(settled(id, 0, (backend, self.now), Outcome::Moot, true, self.now));
         };
@@ -658,7 +511,7 @@
             return self.events.push_back(event);
         }
         let (registry, work, wait) = (self.poll.registry(), Work::Attempt(id, attempt), until - self.now);
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(open) = self.requests.get_mut(id) else { return };
         // How long an attempt takes is measured to the microsecond: by the turns' clock one that is answered within
         // a tick would take no time at all.
         let began = self.clock.now();
@@ -666,22 +519,15 @@
         let begun = self.backends.begin(registry, backend, work, began, |out| open.call.write(wait, out));
         if let Some((link, connecting)) = begun {
             open.attempts[number].link = Some(link);
-            self.timers.push(Reverse((until, Due::Expire(id, attempt))));
+            self.timers.set(until, Due::Expire(id, attempt));
             if connecting {
-                self.timers.push(Reverse((self.now + self.connect_timeout, Due::Connect(link))));
+                self.timers.set(self.now + self.connect_timeout, Due::Connect(link));
             }
         }
     }
 
-    /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
     fn make_room(&mut self, backend: BackendId) -> bool {
-        if !self.backends.must_connect(backend, self.clock.now()) {
-            return true;
-        }
-        if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
-            return self.backends.close_oldest();
-        }
-        !self.full() || self.backends.close_oldest() || self.clients.close_oldest()
+        self.budget.backend(backend, self.clock.now(), &mut self.clients, &mut self.backends)
     }
 
     fn probe(&mut self, backend: BackendId) {
@@ -697,7 +543,7 @@
         let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, self.now, fill);
         if let Some((link, _)) = begun {
             let due = Due::Probe(link, backend, self.now);
-            self.timers.push(Reverse((self.now + self.connect_timeout, due)));
+            self.timers.set(self.now + self.connect_timeout, due);
         }
     }
 
@@ -705,13 +551,7 @@
 
     /// Whether all that was taken is answered, and nobody is left who might say more.
     fn may_exit(&self) -> bool {
-        let Some(since) = self.closing_since else { return false };
-        if self.requests.values().any(|o| !o.over) {
-            return false;
-        }
-        let waited = self.now - since;
-        // Half a request, or answers that nobody reads, must not keep it until it is killed.
-        let quiet = waited > LAST_WAIT && self.clients.busy() == 0;
-        self.clients.len() == 0 || quiet || waited > LAST_READ || self.now >= self.last_at
+        !self.requests.owe()
+            && self.shutdown.may_exit(self.now, self.clients.len(), || self.clients.busy() > 0)
     }
 }
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -2,11 +2,16 @@
 
 mod backends;
 mod clients;
+mod clock;
 mod config;
 mod discovery;
 mod ingress;
 mod peers;
 mod reload;
+mod requests;
+mod room;
+mod shutdown;
+mod timers;
 
 use std::io::Write;
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/ingress/src/requests.rs
@@ -0,0 +1,135 @@
+//! The open requests: what each is, where its attempts are, and the memory that all of them hold.
+
+use crate::backends::Link;
+use crate::clients::Origin;
+use std::collections::hash_map::RandomState;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::hash::BuildHasher;
+use wrenfork_decision::{BackendId, Micros, RequestId};
+use wrenfork_wire::call::Call;
+
+/// How long after its end the id of a request is still known: one that is new each time does not come again.
+const ID_KNOWN: Micros = 1_000_000;
+
+/// An attempt at a request.
+pub struct Attempt {
+    pub backend: BackendId,
+    pub began: Micros,
+    /// Its connection, while it is out.
+    pub link: Option<Link>,
+}
+
+/// A request that is not forgotten yet.
+pub struct Open {
+    pub call: Call,
+    /// A hash of its id.
+    name: u64,
+    pub origin: Origin,
+    pub deadline: Micros,
+    pub attempts: Vec<Attempt>,
+    /// It has its final answer, or its client has gone.
+    pub over: bool,
+}
+
+impl Open {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.link.is_some())
+    }
+}
+
+/// What becomes of a request that comes.
+pub enum Place {
+    Free(u64),
+    /// Its id is that of a request that is open or was a moment ago.
+    Taken,
+    /// Beyond the bound on requests or on memory.
+    Full,
+}
+
+/// The open requests.
+pub struct Requests {
+    open: HashMap<RequestId, Open>,
+    /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
+    /// anew at each start.
+    names: HashSet<u64>,
+    ended: VecDeque<(Micros, u64)>,
+    hasher: RandomState,
+    /// The memory of the open requests, and the most of it and of them.
+    held: usize,
+    memory: usize,
+    most: usize,
+}
+
+impl Requests {
+    /// None yet; at most so many, and so many bytes.
+    pub fn new(most: usize, memory: usize) -> Self {
+        Requests {
+            open: HashMap::new(),
+            names: HashSet::new(),
+            ended: VecDeque::new(),
+            hasher: RandomState::new(),
+            held: 0,
+            memory,
+            most,
+        }
+    }
+
+    /// Whether a call can be taken in.
+    pub fn place(&self, call: &Call) -> Place {
+        // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
+        let name = self.hasher.hash_one(call.id());
+        if self.names.contains(&name) {
+            Place::Taken
+        } else if self.open.len() >= self.most || self.held + call.size() > self.memory {
+            Place::Full
+        } else {
+            Place::Free(name)
+        }
+    }
+
+    /// Takes a call in, at the place found for it.
+    pub fn insert(&mut self, id: RequestId, call: Call, name: u64, origin: Origin, deadline: Micros) {
+        self.held += call.size();
+        self.names.insert(name);
+        self.open.insert(id, Open { call, name, origin, deadline, attempts: Vec::new(), over: false });
+    }
+
+    pub fn get(&self, id: RequestId) -> Option<&Open> {
+        self.open.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
+        self.open.get_mut(&id)
+    }
+
+    /// The one that still owes an answer.
+    pub fn owing(&mut self, id: RequestId) -> Option<&mut Open> {
+        self.open.get_mut(&id).filter(|o| !o.over)
+    }
+
+    /// Whether any still owes an answer.
+    pub fn owe(&self) -> bool {
+        self.open.values().any(|o| !o.over)
+    }
+
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.open.keys().copied().collect()
+    }
+
+    /// Forgets a request that is over and has nothing out any more.
+    pub fn forget(&mut self, id: RequestId, now: Micros) {
+        if self.open.get(&id).is_some_and(|o| o.over && !o.out()) {
+            if let Some(open) = self.open.remove(&id) {
+                self.held -= open.call.size();
+                self.ended.push_back((now + ID_KNOWN, open.name));
+            }
+        }
+    }
+
+    /// Forgets ids that ended long enough ago.
+    pub fn sweep(&mut self, now: Micros) {
+        while self.ended.front().is_some_and(|e| e.0 <= now) {
+            self.ended.pop_front().map(|e| self.names.remove(&e.1));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/room.rs
@@ -0,0 +1,62 @@
+//! Who gets a descriptor: the budget that clients and backends share, and whose idle connection makes room.
+
+use crate::backends::Backends;
+use crate::clients::{Clients, Room};
+use wrenfork_decision::{BackendId, Micros};
+
+/// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
+/// peers, and some to spare for what is opened before another is closed.
+const OTHER_SOCKETS: usize = 20;
+/// Clients that are taken in beyond the budget, only to be told so.
+const MOST_SURPLUS: usize = 8;
+/// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
+const MOST_EIGHTHS: usize = 6;
+
+/// The descriptors that clients and backends share.
+#[derive(Clone, Copy)]
+pub struct Budget(usize);
+
+impl Budget {
+    /// What is left of the process's limit for clients and backends; an error where that is next to none.
+    pub fn new(sockets: usize) -> Result<Self, String> {
+        let left = sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
+        left.map(Budget).ok_or_else(|| format!("limits.sockets is too few: {sockets}"))
+    }
+
+    fn share(self) -> usize {
+        self.0 * MOST_EIGHTHS / 8
+    }
+
+    fn spent(self, clients: &Clients, backends: &Backends) -> bool {
+        clients.len() + backends.len() >= self.0
+    }
+
+    /// Whether one more client may come in, if need be in place of an idle connection.
+    pub fn client(self, clients: &mut Clients, backends: &mut Backends) -> Room {
+        let full = clients.len() >= self.share() || self.spent(clients, backends);
+        if !full || clients.close_oldest() || (clients.len() < self.share() && backends.close_oldest()) {
+            Room::Free
+        } else if clients.surplus() < MOST_SURPLUS {
+            Room::Surplus
+        } else {
+            Room::None
+        }
+    }
+
+    /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
+    pub fn backend(
+        self,
+        backend: BackendId,
+        now: Micros,
+        clients: &mut Clients,
+        backends: &mut Backends,
+    ) -> bool {
+        if !backends.must_connect(backend, now) {
+            return true;
+        }
+        if backends.len() >= self.share() {
+            return backends.close_oldest();
+        }
+        !self.spent(clients, backends) || backends.close_oldest() || clients.close_oldest()
+    }
+}
