--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -25,6 +25,8 @@
 const MOST_UNREAD: usize = 64 * 1024;
 /// Bad commands in a row after which a connection is closed: each costs an answer, and some clients never tire.
 const MOST_ERRORS: u32 = 8;
+/// How long before the latest connection one must have come to be closed for never having said anything.
+const FRESH: Micros = 10_000;
 /// How long a new connection may say nothing, and how long the rest of a command may take to come.
 const PATIENCE: Micros = 2_000_000;
 /// How long answers may lie unread until their client is taken for gone.
@@ -311,8 +313,10 @@
     }
 
     fn read_some(&mut self, key: usize, now: Micros, closed: bool) {
-        for _ in 0..READS_A_TURN {
-            if !self.take_commands(key, now) {
+        for step in 0..READS_A_TURN {
+            // Of one whose end is near all is read first: what it asked for before it left wants no answer, and must
+            // not run for nobody. An ingress that stood still finds many such.
+            if (!closed || step == 0 && self.conns[key].stalled) && !self.take_commands(key, now) {
                 self.conns[key].stalled = true;
                 return;
             }
@@ -340,7 +344,10 @@
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.conns[key].stalled = !self.take_commands(key, now);
+                    return;
+                }
                 Err(_) => return self.remove(key),
             }
         }
@@ -559,9 +566,10 @@
     pub fn close_oldest(&mut self) -> bool {
         loop {
             let idle = self.conns.iter().filter(|(_, c)| c.idle());
-            // Those that never said anything go first. Many fall idle at one clock: of these the oldest goes, not
-            // the one that was accepted just now into the first free place.
-            let oldest = idle.min_by_key(|(_, c)| (c.spoke(), c.since, c.serial));
+            // Those that never said anything go first, but for the latest: what they say may be a moment behind their
+            // connecting. Many fall idle at one clock: of these the oldest goes.
+            let fresh = |c: &Client| c.since + FRESH > self.accepted_at;
+            let oldest = idle.min_by_key(|(_, c)| (c.spoke() || fresh(c), c.since, c.serial));
             let Some((key, since)) = oldest.map(|(key, c)| (key, c.since)) else {
                 return false;
             };
--- a/crates/ingress/tests/ingress.rs
+++ b/crates/ingress/tests/ingress.rs
@@ -902,3 +902,24 @@
     until("the longest idle are closed", || stay.iter().filter(|c| open(c)).count() <= 21);
     assert!(stay.iter().rev().take(15).all(open), "those that asked last are kept");
 }
+
+/// Guards against carrying out what nobody waits for: an ingress that stood still finds requests whose clients have
+/// given up and gone, with the end of the connection right behind them.
+#[test]
+fn a_request_whose_client_has_gone_before_it_is_read_reaches_no_backend() {
+    let backend = Backend::start(serve);
+    let ingress = setup(&[&backend]).start();
+    let mut other = ingress.client();
+    // An idle connection to the backend, over which a request would go at once.
+    assert_eq!(other.ask(&call("quote", "q1", 900)), "value of q1");
+    std::thread::sleep(Duration::from_millis(20));
+    let mut gone = ingress.client();
+    assert_eq!(gone.ask(&command(&["PING"])), "+PONG");
+    ingress.signal("STOP");
+    gone.send(&call("refer", "r1", 5000));
+    leave(gone);
+    ingress.signal("CONT");
+    assert_eq!(other.ask(&call("quote", "q2", 900)), "value of q2");
+    let ids: Vec<String> = backend.seen.commands.lock().unwrap().iter().map(|c| c[2].clone()).collect();
+    assert_eq!(ids, ["q1", "q2"]);
+}
