--- a/crates/fleet/src/judge/mod.rs
+++ b/crates/fleet/src/judge/mod.rs
@@ -135,6 +135,8 @@
     LegDown(usize),
     /// And works again.
     LegUp(usize),
+    /// What an ingress sends to its backends is under way for so long.
+    Slow(usize, Micros),
     /// An ingress was told of a backend: whether it takes new work, and when it started.
     Told {
         /// The ingress.
@@ -223,6 +225,8 @@
     thawed: HashMap<usize, Micros>,
     legs: HashSet<usize>,
     legs_up: HashMap<usize, Micros>,
+    /// The longest that what an ingress sent to backends was under way.
+    slow: HashMap<usize, Micros>,
     ceilings: Stores,
     worth: Worth,
     cold: HashMap<usize, VecDeque<(Micros, Micros, bool)>>,
@@ -248,6 +252,7 @@
             thawed: HashMap::new(),
             legs: HashSet::new(),
             legs_up: HashMap::new(),
+            slow: HashMap::new(),
             ceilings: Stores::default(),
             worth: Worth::new(s, start),
             cold: HashMap::new(),
@@ -327,6 +332,10 @@
                 self.legs.remove(&ingress);
                 self.legs_up.insert(ingress, at);
             }
+            Seen::Slow(ingress, delay) => {
+                let slow = self.slow.entry(ingress).or_default();
+                *slow = delay.max(*slow);
+            }
             Seen::Told { ingress, backend, up, started } => {
                 let told = self.told.entry((ingress, backend)).or_insert(Told { up, since: at, started });
                 if told.up != up {
@@ -421,12 +430,13 @@
             return;
         };
         self.attempts += 1;
-        self.drain(at, id, ingress, backend, first_byte);
+        let under_way = self.slow.get(&ingress).copied().unwrap_or(0);
+        self.drain(at, id, ingress, backend, first_byte.saturating_sub(under_way));
         self.cold(at, id, ingress, backend, work, capacity, started);
         let Some(r) = self.requests.get(&id) else {
             return self.broken(Rule::Answer, id, at, "a backend got what nobody asked for");
         };
-        if r.end == End::Answered && at > r.ended + ON_SOCKETS {
+        if r.end == End::Answered && at > r.ended + ON_SOCKETS + under_way {
             let by = (at - r.ended) / 1000;
             let what = format!("sent on to backend {backend} {by} ms after its final answer");
             self.broken(Rule::Answer, id, at, what);
--- a/crates/fleet/src/judge/tests.rs
+++ b/crates/fleet/src/judge/tests.rs
@@ -74,6 +74,20 @@
     assert_eq!(j.violations()[0].request, 2);
 }
 
+/// Guards against blaming an ingress for what was under way when it gave its final answer.
+#[test]
+fn what_a_slow_way_holds_back_was_sent_before_the_answer() {
+    for (slow, broken) in [(0, true), (80_000, false)] {
+        let mut j = judge();
+        j.note(0, Seen::Slow(0, slow));
+        asked(&mut j, 0, 1, 0);
+        reached(&mut j, 10, 1, 0, 0);
+        j.note(20, Seen::Answered(1, Answer::Served));
+        reached(&mut j, 20 + ON_SOCKETS + 30_000, 1, 1, 0);
+        assert_eq!(rules(&j) == [Rule::Answer], broken);
+    }
+}
+
 #[test]
 fn a_keyed_request_may_be_repeated_in_its_pod_and_time_alone() {
     for (at, pod, broken) in [(SECOND, 1, false), (SECOND, 2, true), (3 * SECOND + ON_SOCKETS + 1, 1, true)] {
--- a/crates/fleet/src/rig/mod.rs
+++ b/crates/fleet/src/rig/mod.rs
@@ -554,6 +554,9 @@
             Fault::Leg { leg, fault, ingresses, lasts } => {
                 for ingress in ingresses {
                     self.relays.fail((leg, ingress), fault, lasts, &mut self.context);
+                    if let (Leg::Backends, LegFault::Slow(delay)) = (leg, fault) {
+                        self.context.see(Seen::Slow(ingress, delay));
+                    }
                     self.leg_seen(leg, ingress, true);
                 }
             }
