Drop an assertion of the rig that could say nothing

Cause: the review of the whole change. The arrivals that a fault adds were asserted to be numbered from the lesser of two constants on, which their making already fixes. Change: the assertion and its import are gone.

--- a/crates/fleet/src/rig/mod.rs
+++ b/crates/fleet/src/rig/mod.rs
@@ -12,7 +12,7 @@
 mod relays;
 mod told;
 
-use crate::arrivals::{Arrivals, HOT, ONCE};
+use crate::arrivals::{Arrivals, HOT};
 use crate::judge::{Judge, Seen};
 use crate::report::{Lateness, Report};
 
@@ -575,7 +575,6 @@
     fn more(&mut self, n: usize, lasts: Micros, rate: f64, hot: Option<u32>) {
         let from = self.scenario.steps[n].at;
         for a in Arrivals::extra(self.scenario, from, lasts, rate, hot) {
-            debug_assert!(a.account >= HOT.min(ONCE));
             self.context.at(self.begin + a.at, Due::Arrival(a));
         }
     }
