--- a/crates/fleet/src/rig/tests.rs
+++ b/crates/fleet/src/rig/tests.rs
@@ -53,7 +53,11 @@
     /// Turns for a while, for what must not show.
     fn for_a_while(&mut self) {
         let start = Instant::now();
-        while start.elapsed() < Duration::from_millis(60) {
+        // Turns count as well: after a stand-still of the machine what is due is still carried out.
+        for turns in 0.. {
+            if turns >= 30 && start.elapsed() >= Duration::from_millis(60) {
+                break;
+            }
             self.turn();
         }
     }
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -2,10 +2,14 @@
 
 use crate::discovery::{Roster, Sites};
 use serde_json::Value;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use wrenfork_config::render::{contracts, render};
+use wrenfork_config::set::Set;
 use wrenfork_config::settings::Conf;
 use wrenfork_decision::{Micros, Settings};
-use wrenfork_wire::call::Vocabulary;
+use wrenfork_wire::call::{Identity, Vocabulary};
 
 /// What an ingress is told.
 pub struct Config {
@@ -35,6 +39,35 @@
     pub all: Option<SocketAddr>,
 }
 
+/// The files that a sidecar runs from.
+pub struct Files {
+    pub app: PathBuf,
+    /// Beside the application's file, under the name `site.toml`, where it is not given.
+    pub site: Option<PathBuf>,
+    /// A fleet snapshot, for the first list of backends.
+    pub fleet: Option<PathBuf>,
+    /// The sidecar's name; not needed where the application has but one.
+    pub sidecar: Option<String>,
+}
+
+/// Where an ingress is told from.
+pub enum Told {
+    /// The platform's file.
+    Platform(String),
+    /// An operator's files.
+    Sidecar(Files),
+}
+
+impl Told {
+    /// Reads it anew; `var` looks up the environment, which only the platform's file may be overruled by.
+    pub fn read(&self, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        match self {
+            Told::Platform(path) => Config::read(path, var),
+            Told::Sidecar(files) => Config::sidecar(files),
+        }
+    }
+}
+
 fn address(text: &str, key: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{key} is no address and port: {text}"))
 }
@@ -81,11 +114,51 @@
     /// Reads the file's text; `var` looks up the environment.
     fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let json: Value = serde_json::from_str(file).map_err(|e| format!("the file is no JSON: {e}"))?;
+        Config::of(&json, var)
+    }
+
+    /// Reads a sidecar's files. Refused files are told line by line.
+    fn sidecar(files: &Files) -> Result<Config, String> {
+        let beside = || files.app.parent().unwrap_or(Path::new("")).join("site.toml");
+        let site = files.site.clone().unwrap_or_else(beside);
+        let set = Set::read([site, files.app.clone()].into_iter().chain(files.fleet.clone()));
+        if set.refused() {
+            let lines = set.found.iter().filter(|d| d.refused()).map(|d| d.line(&set.sources));
+            return Err(format!("refused:\n{}", lines.collect::<Vec<_>>().join("\n")));
+        }
+        let apps = set.applications();
+        let (Some(site), [app]) = (set.site(), &apps[..]) else {
+            return Err(format!("{} is no application's file, or its site's is none", files.app.display()));
+        };
+        let (site, app) = (site.content, app.content);
+        let name = match (&files.sidecar, &app.sidecars[..]) {
+            (Some(name), _) => name,
+            (None, [only]) => &only.name.value,
+            (None, _) => return Err("the application has several sidecars: name one with --sidecar".into()),
+        };
+        let told = render(app, site, set.fleet().map(|f| f.content), name)?;
+        let mut config = Config::of(&told, |_| None)?;
+        config.seed = RandomState::new().hash_one(name);
+        let sends = |class: &str| app.sends.iter().any(|c| c.value == class);
+        let places = contracts(app, site).of;
+        let accounts = app.accounts.iter().filter_map(|account| {
+            let place = u16::try_from(*places.get(&account.id.value)?).ok()?;
+            Some((account.id.value, (place, account.plan.as_ref()?.value.clone())))
+        });
+        config.vocabulary.identity = Some(Identity {
+            accounts: accounts.collect(),
+            sends: site.classes.iter().map(|c| sends(&c.name.value)).collect(),
+        });
+        Ok(config)
+    }
+
+    /// Takes what is told; `var` looks up the environment.
+    fn of(json: &Value, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let place = |name: &str, key: &str| match var(name) {
             Some(text) => address(&text, name),
-            None => address(text(&json, key)?, key),
+            None => address(text(json, key)?, key),
         };
-        let seed = text(&json, "seed")?;
+        let seed = text(json, "seed")?;
         let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hex number: {seed}"))?;
         let mut pairs = Vec::new();
         flatten("", json.get("settings").ok_or("settings is missing")?, &mut pairs);
@@ -98,11 +171,11 @@
         let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
         let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
         let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
-        let vocabulary = Vocabulary { classes, plans, most_units, gateways };
+        let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity: None };
         let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
         let known = json.get("known").ok_or("known is missing")?;
         let known = Roster::read(known, &sites).map_err(|e| format!("known: {e}"))?;
-        let peers = if settings.limits.peers { Some(Self::peers(&json)?) } else { None };
+        let peers = if settings.limits.peers { Some(Self::peers(json)?) } else { None };
         if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateways)) {
             return Err("peers does not have one address for each of setting n_instances".into());
         }
@@ -110,8 +183,8 @@
             listen: place("LB_LISTEN", "listen")?,
             discovery: place("LB_DISCOVERY", "discovery")?,
             seed,
-            sockets: whole(&json, "limits", "sockets")?,
-            memory: whole(&json, "limits", "memory_mb")?.saturating_mul(1 << 20),
+            sockets: whole(json, "limits", "sockets")?,
+            memory: whole(json, "limits", "memory_mb")?.saturating_mul(1 << 20),
             peers,
             known,
             connect_timeout: conf.micros("limits.connect_timeout_us")?,
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -13,7 +13,10 @@
 mod shutdown;
 mod timers;
 
+use clap::Parser;
+use config::{Files, Told};
 use std::io::Write;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Writes a line to the log. An ingress whose log cannot be written goes on.
@@ -21,17 +24,39 @@
     let _ = writeln!(std::io::stderr(), "wrenfork: {text}");
 }
 
-fn run() -> Result<(), String> {
+/// The ingress. Without arguments it runs from the platform's file, which LB_CONFIG names.
+#[derive(Parser)]
+#[command(name = "wrenfork", version)]
+struct Arguments {
+    /// Runs as the sidecar of the application in this file
+    #[arg(long, value_name = "FILE")]
+    app: Option<PathBuf>,
+    /// The site's file; site.toml beside the application's without it
+    #[arg(long, value_name = "FILE", requires = "app")]
+    site: Option<PathBuf>,
+    /// A fleet snapshot, for the first list of nodes
+    #[arg(long, value_name = "FILE", requires = "app")]
+    fleet: Option<PathBuf>,
+    /// The sidecar's name, where the application has several
+    #[arg(long, value_name = "NAME", requires = "app")]
+    sidecar: Option<String>,
+}
+
+fn run(arguments: Arguments) -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-    let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
+    let Arguments { app, site, fleet, sidecar } = arguments;
+    let told = match app {
+        Some(app) => Told::Sidecar(Files { app, site, fleet, sidecar }),
+        None => Told::Platform(var("LB_CONFIG").ok_or("LB_CONFIG is not set")?),
+    };
     // From here on no signal ends the process: one that comes while it starts is taken up by the loop.
     let signals = ingress::signals()?;
-    let config = config::Config::read(&path, var)?;
-    ingress::Ingress::start(config, reload::Reload::new(path), signals)?.run()
+    let config = told.read(var)?;
+    ingress::Ingress::start(config, reload::Reload::new(told), signals)?.run()
 }
 
 fn main() -> ExitCode {
-    match run() {
+    match run(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log(&message);
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -1,7 +1,7 @@
 //! Reading the configuration anew when told to, while serving. Of what it says only discovery's address is taken
 //! over: all else is fixed from the start on.
 
-use crate::config::Config;
+use crate::config::Told;
 use std::net::SocketAddr;
 use wrenfork_decision::Micros;
 
@@ -10,7 +10,7 @@
 
 /// The file, and how reading it goes.
 pub struct Reload {
-    path: String,
+    told: Told,
     /// The pause before the next try; none while no reading is due.
     pause: Option<Micros>,
     next: Micros,
@@ -19,8 +19,8 @@
 
 impl Reload {
     /// Nothing is to be read yet.
-    pub fn new(path: String) -> Self {
-        Reload { path, pause: None, next: 0, failed: false }
+    pub fn new(told: Told) -> Self {
+        Reload { told, pause: None, next: 0, failed: false }
     }
 
     /// The file is to be read, now and until that succeeds.
@@ -33,7 +33,7 @@
     pub fn read(&mut self, now: Micros) -> Result<SocketAddr, Option<Micros>> {
         let Some(pause) = self.pause.filter(|_| now >= self.next) else { return Err(None) };
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty() && name != "LB_DISCOVERY");
-        match Config::read(&self.path, var) {
+        match self.told.read(var) {
             Ok(config) => {
                 crate::log(&format!("reload: discovery at {}", config.discovery));
                 self.pause = None;
--- /dev/null
+++ b/crates/ingress/tests/sidecar.rs
@@ -0,0 +1,144 @@
+//! The sidecar: the built ingress that runs from an application's files.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use wrenfork_fleet::small::*;
+
+fn good(name: &str) -> String {
+    fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../config/tests/good").join(name)).unwrap()
+}
+
+/// An application's folder, with its site and the nodes that there are.
+struct Folder(tempfile::TempDir);
+
+impl Folder {
+    fn new(app: &str, backends: &[&Backend]) -> Folder {
+        let folder = Folder(tempfile::tempdir().unwrap());
+        folder.write("site.toml", &good("site.toml"));
+        folder.write("app.toml", app);
+        let nodes: Vec<String> =
+            backends.iter().enumerate().map(|(n, b)| b.entry(&format!("s-000{n}"), "up")).collect();
+        folder.write("fleet.json", &list(1, true, &nodes));
+        folder
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.path().join(name);
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn command(&self, more: &str) -> String {
+        let (program, folder) = (env!("CARGO_BIN_EXE_wrenfork"), self.0.path().display());
+        format!("exec '{program}' --app '{folder}/app.toml' --fleet '{folder}/fleet.json' {more}")
+    }
+
+    fn start(&self, at: SocketAddr, more: &str) -> Ingress {
+        let ingress = Ingress::run("", at, &self.command(more));
+        until("the sidecar is ready", || {
+            std::net::TcpStream::connect(at)
+                .is_ok_and(|stream| Client(stream).ask(&command(&["PING"])) == "+PONG")
+        });
+        ingress
+    }
+}
+
+/// The application without routes, listening at a place.
+fn app(at: SocketAddr) -> String {
+    good("with-site-no-routes.toml").replace("127.0.0.1:7600", &at.to_string())
+}
+
+/// Guards against a request that spends another's plan, or more than its share, by saying so.
+#[test]
+fn what_a_request_claims_of_plan_and_spread_counts_for_nothing() {
+    let (at, backend) = (place(), Backend::start(serve));
+    let folder = Folder::new(&app(at), &[&backend]);
+    let ingress = folder.start(at, "");
+    let mut client = ingress.client();
+    let claim = "c=quote,t=enterprise,d=900,units=1,spread=40,first=7,new=x";
+    assert_eq!(client.ask(&command(&["CALL.GET", "00000000000004d3", "q1", claim])), "value of q1");
+    let seen = backend.seen.commands.lock().unwrap().clone();
+    assert!(seen[0][3].ends_with(",units=1,new=x,t=starter,spread=1,first=0"), "{}", seen[0][3]);
+}
+
+/// The starter plan lets 7 through at once, whatever plan is claimed.
+#[test]
+fn the_quota_is_that_of_the_accounts_own_plan() {
+    let (at, backend) = (place(), Backend::start(serve));
+    let folder = Folder::new(&app(at), &[&backend]);
+    let ingress = folder.start(at, "");
+    let mut client = ingress.client();
+    let ask = |client: &mut Client, n: usize| {
+        let claim = "c=quote,t=business,d=900,units=1,spread=1,first=0";
+        client.ask(&command(&["CALL.GET", "00000000000004d3", &format!("q{n}"), claim]))
+    };
+    let answers: Vec<String> = (0..20).map(|n| ask(&mut client, n)).collect();
+    let served = answers.iter().filter(|a| a.starts_with("value")).count();
+    // Some more where the machine stands still; the plan that was claimed would have let 16 through at once.
+    assert!((7..14).contains(&served), "{served} of 20: {answers:?}");
+    assert!(answers.last().is_some_and(|a| a.starts_with("-BUSY")), "{answers:?}");
+}
+
+#[test]
+fn another_account_and_a_class_that_may_not_be_sent_are_turned_away() {
+    let (at, backend) = (place(), Backend::start(serve));
+    let folder = Folder::new(&app(at), &[&backend]);
+    let ingress = folder.start(at, "");
+    let mut client = ingress.client();
+    let ask = |client: &mut Client, verb: &str, account: &str, class: &str| {
+        let options = format!("c={class},t=starter,d=900,units=1,spread=1,first=0");
+        let parts = [verb, account, "r1", &options, "BODY"];
+        client.ask(&command(if verb == "CALL.GET" { &parts[..4] } else { &parts }))
+    };
+    let other = ask(&mut client, "CALL.GET", "0000000000000001", "quote");
+    assert!(other.contains("not this application's"), "{other}");
+    let class = ask(&mut client, "CALL.POST", "00000000000004d2", "lender-referral");
+    assert!(class.contains("may not send"), "{class}");
+    assert_eq!(backend.count(), 0);
+    // An account without a ceiling: one that has counts from nothing at a start.
+    assert_eq!(ask(&mut client, "CALL.GET", "00000000000004d3", "quote"), "value of r1");
+}
+
+/// Guards against a sidecar that runs from a file that the check refuses, or does not say what is wrong with it.
+#[test]
+fn a_refused_file_starts_nothing_and_all_that_is_wrong_is_said() {
+    let at = place();
+    let folder = Folder::new(&app(at).replace("\"starter\"", "\"stater\"").replace("\"6/s\"", "\"6\""), &[]);
+    let out = Command::new("/bin/sh").args(["-c", &folder.command("")]).output().unwrap();
+    let said = String::from_utf8(out.stderr).unwrap();
+    assert_eq!(out.status.code(), Some(1));
+    for part in ["app.toml:19:9: C106", "app.toml:23:8: C203", "\"stater\""] {
+        assert!(said.contains(part), "{part} is not in:\n{said}");
+    }
+    assert!(std::net::TcpStream::connect(at).is_err());
+}
+
+/// What the check takes, a sidecar starts with.
+#[test]
+fn every_good_application_starts() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../config/tests/good");
+    let mut started = 0;
+    let mut names: Vec<String> = fs::read_dir(folder)
+        .unwrap()
+        .map(|e| e.unwrap().file_name().into_string().unwrap())
+        .filter(|n| n.starts_with("with-site-") && !n.contains("unix") && !n.contains("version-6"))
+        .collect();
+    names.sort();
+    for name in names {
+        let at = place();
+        let text = good(&name).replace("127.0.0.1:7600", &at.to_string());
+        let two = name.contains("two-sidecars");
+        let text = text
+            .replace("127.0.0.1:7946", &place().to_string())
+            .replace("127.0.0.1:7947", &place().to_string());
+        let folder = Folder::new(&text, &[]);
+        folder.write("fleet.json", &good("fleet.json"));
+        let mut ingress = folder.start(at, if two { "--sidecar desk-1" } else { "" });
+        ingress.signal("TERM");
+        assert!(ingress.exit().success(), "{name}");
+        started += 1;
+    }
+    assert!(started >= 12, "only {started}");
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,6 +1,7 @@
 //! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
 
 use crate::resp;
+use std::collections::HashMap;
 use std::ops::Range;
 use wrenfork_decision::{CustomerId, Micros, Repeat, Request};
 
@@ -21,6 +22,29 @@
     pub most_units: f64,
     /// How many ingresses there are.
     pub gateways: u64,
+    /// Whose requests these are, where that is known whatever they claim.
+    pub identity: Option<Identity>,
+}
+
+/// An application's accounts, at a sidecar of its own: what a request claims of plan and spread counts for nothing.
+#[derive(Debug, Default)]
+pub struct Identity {
+    /// By account: the place of its plan in the vocabulary, and the plan's name as backends know it.
+    pub accounts: HashMap<u64, (u16, String)>,
+    /// By class: whether it may be sent.
+    pub sends: Vec<bool>,
+}
+
+/// Options without what they claim of plan and spread, and with what is so.
+fn with_own(options: &[u8], plan: &str, gateways: u64) -> Vec<u8> {
+    let claims = [&b"t="[..], b"spread=", b"first="];
+    let mut own = Vec::with_capacity(options.len() + 32);
+    for option in options.split(|b| *b == b',').filter(|o| !claims.iter().any(|c| o.starts_with(c))) {
+        own.extend_from_slice(option);
+        own.push(b',');
+    }
+    own.extend_from_slice(format!("t={plan},spread={gateways},first=0").as_bytes());
+    own
 }
 
 /// A client's request.
@@ -84,6 +108,15 @@
         if !graphic(id) {
             return Err("the id is no plain word".into());
         }
+        let own = match &words.identity {
+            Some(identity) => {
+                let own = identity.accounts.get(&customer_id);
+                Some((own.ok_or("the account is not this application's")?, identity))
+            }
+            None => None,
+        };
+        let owned = own.map(|((_, plan), _)| with_own(options, plan, words.gateways));
+        let options = owned.as_deref().unwrap_or(options);
         let (mut class, mut plan, mut wait, mut key) = (None, None, None, None);
         let (mut units, mut width, mut first) = (None, None, None);
         let mut at = 0;
@@ -115,6 +148,10 @@
             words.classes.iter().position(|c| c.0.as_bytes() == class).ok_or("the class is unknown")?;
         let plan = plan.ok_or_else(|| missing("t"))?;
         let plan = words.plans.iter().position(|p| p.as_bytes() == plan).ok_or("the plan is unknown")?;
+        let plan = own.map_or(plan, |((place, _), _)| usize::from(*place));
+        if own.is_some_and(|(_, identity)| !identity.sends.get(class).copied().unwrap_or(false)) {
+            return Err("the application may not send this class".into());
+        }
         let (wait, place) = wait.ok_or_else(|| missing("d"))?;
         let repeat = words.classes[class].1;
         if post == (repeat == Repeat::Safe) {
@@ -184,7 +221,7 @@
         let classes =
             vec![("quote".into(), Repeat::Safe), ("save".into(), keyed), ("refer".into(), Repeat::Once)];
         let plans = vec!["starter".into(), "business".into()];
-        Vocabulary { classes, plans, most_units: 4.0, gateways: 4 }
+        Vocabulary { classes, plans, most_units: 4.0, gateways: 4, identity: None }
     }
 
     fn read(parts: &[&str]) -> Result<Call, String> {
