Checks beside a fleet: the quotas' sum once, help in the list's own order

Read again: the sum of all quotas was made anew for each route, so many routes beside many accounts took their product; it is made once now. The help of an unknown node listed names in a hash's order, which differs from run to run; it is the list's order now. A wrapper of one call in the formatter is gone.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -395,7 +395,13 @@
         let before = found.len();
         for name in &pool.nodes {
             let Some(node) = by_name.get(name.value.as_str()) else {
-                found.push(unknown(a, Code::NoSuchNode, "node", name, by_name.keys().copied()));
+                found.push(unknown(
+                    a,
+                    Code::NoSuchNode,
+                    "node",
+                    name,
+                    fleet.nodes.iter().map(|n| n.name.value.as_str()),
+                ));
                 continue;
             };
             let (code, state) = match node.status {
@@ -424,9 +430,10 @@
         .filter(|n| n.status == Status::Up)
         .map(|n| (table.member(&traits(n)), n))
         .collect();
+    let promised: f64 = quotas(app, s.content).map(|(_, q)| q).sum();
     for route in &app.routes {
         groups(a, s.content, &table, route, &member, found);
-        capacity(a, s, route, &member, found);
+        capacity(a, s, promised, route, &member, found);
     }
 }
 
@@ -467,13 +474,13 @@
 fn capacity(
     a: &In<Application>,
     s: &In<Site>,
+    promised: f64,
     route: &Route,
     member: &[(u64, &Node)],
     found: &mut Vec<Diagnostic>,
 ) {
     let (app, site) = (a.content, s.content);
     let Some(per_weight) = site.per_weight else { return };
-    let promised: f64 = quotas(app, site).map(|(_, q)| q).sum();
     let pool =
         |name: &Option<At<String>>| name.as_ref().and_then(|n| Some((n.clone(), number(app, &n.value)?)));
     let trial = pool(&route.trial).zip(route.share.as_ref().map(|s| s.value));
--- a/crates/config/src/format.rs
+++ b/crates/config/src/format.rs
@@ -1,7 +1,7 @@
 //! Writes a file in the usual form: one blank line before each table, one space round each `=`, no blanks at line ends.
 //! Nothing is put into another order, and no comment is lost.
 
-use toml_edit::{Array, Decor, DocumentMut, InlineTable, Item, RawString, Table, Value};
+use toml_edit::{Array, Decor, DocumentMut, Item, RawString, Table, Value};
 
 /// Formats a file's text; done again it changes nothing.
 ///
@@ -103,7 +103,7 @@
 fn value(of: &mut Value) {
     match of {
         Value::Array(array) if !has_comment(array) => array.fmt(),
-        Value::InlineTable(inline) if !inline.to_string().contains(['#', '\n']) => inline_table(inline),
+        Value::InlineTable(inline) if !inline.to_string().contains(['#', '\n']) => inline.fmt(),
         _ => {}
     }
 }
@@ -112,7 +112,3 @@
     // A list over several lines stays as it was written: its lines say what belongs together.
     array.to_string().contains(['#', '\n'])
 }
-
-fn inline_table(of: &mut InlineTable) {
-    of.fmt();
-}
