--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -382,14 +382,27 @@
         number
     }
 
-    fn names(&mut self, field: &Field, value: &DeValue, span: Range<usize>) -> Option<Value> {
+    /// The list at a key, told where it is none or empty.
+    fn list<'v, 'i>(
+        &mut self,
+        field: &Field,
+        want: &str,
+        value: &'v DeValue<'i>,
+        span: Range<usize>,
+    ) -> Option<&'v toml::de::DeArray<'i>> {
         let Some(list) = value.as_array() else {
-            return self.type_wanted(field, "a list of names", value, span);
+            self.type_told(field, want, value, span);
+            return None;
         };
         if list.is_empty() {
             self.wrong(Code::Empty, span, format!("`{}` is an empty list", field.key));
             return None;
         }
+        Some(list)
+    }
+
+    fn names(&mut self, field: &Field, value: &DeValue, span: Range<usize>) -> Option<Value> {
+        let list = self.list(field, "a list of names", value, span)?;
         let mut names: Vec<At<String>> = Vec::new();
         for one in list {
             match one.get_ref().as_str() {
@@ -419,13 +432,7 @@
         value: &DeValue,
         span: Range<usize>,
     ) -> Option<Value> {
-        let Some(list) = value.as_array() else {
-            return self.type_wanted(field, "a list of whole numbers", value, span);
-        };
-        if list.is_empty() {
-            self.wrong(Code::Empty, span, format!("`{}` is an empty list", field.key));
-            return None;
-        }
+        let list = self.list(field, "a list of whole numbers", value, span)?;
         let numbers = list.iter().filter_map(|one| {
             let n = self.whole(field, least, most, one.get_ref(), one.span())?;
             Some(At { value: n, span: one.span() })
