Silence counts as death only where no working backend would keep it; pressure by the aim

Changed (crates/decision/src/control.rs): a silence is death once six answers should have come from that backend meanwhile (by its own times and by what is out there): wrong once in 400. Only then is it rested, and a request moved; a copy or a move draws three times what a retry draws. A request waits for a place only as long as three mean answers still fit in its aim, and a line that is longer is closed at once. A cold backend's slowness no longer counts twice.

Also here: a client of the count service on the loop (TALLY), which the module may call: one connection, calls one behind the other, own time-out, a call unanswered told as perhaps done and its late answer nobody else's.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -9,21 +9,25 @@
 const RUNG_UP: Micros = 1_500_000; // least stay on a rung, so that its effect is seen
 const RUNG_DOWN: Micros = 2_000_000;
 const EPOCH: Micros = 10_000_000; // how long the same customers are cut: longer than clients retry
-/// An answer weighs on the pressure by its time over the lesser of these: a multiple of its class's time on
-/// calm servers, and a share of its aim. Servers driven harder lose throughput before aims are missed.
-const CALM_MULTIPLE: f64 = 3.5;
+/// An answer weighs on the pressure by its time over this share of its aim: one in ten is late then. Not by
+/// its time on calm servers: what slows all alike no shedding mends, and cutting for it served less.
+const AIM_SHARE: f64 = 0.5;
 const CALM_CREEP: f64 = 0.01; // growth of the calm time by itself, in a second
-const AIM_SHARE: f64 = 0.6;
+const LONG: f64 = 100.0; // answers in the mean whose least is the calm time: the least of a few is too low
 const ALERT_ON: f64 = 1.0; // pressure that raises an alert
 const ALERT_OFF: f64 = 0.75; // and that ends it: between them nothing moves
-const PLACES: f64 = 10.0; // attempts out at a backend, by all gateways, to begin with; then found by latency
-const GROW: f64 = 0.4; // pressure under which the bound on what is out may grow
+const PLACES: f64 = 4.0; // attempts out at a backend, by all gateways, to begin with: two cores, twice over
+const GROW: f64 = 1.05; // mean answer over the calm one up to which that bound, where it binds, may grow
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
 const RATE_TAU: f64 = 2.0; // memory of use in seconds: longer than pauses, shorter than shifts of weight
-const HOLD: f64 = 0.3; // share of an aim that a request may wait for a place; held longer it would fail late
-const SILENCE: f64 = 0.35; // share of an aim after which an attempt at a silent backend is repeated elsewhere
-const HEDGE: f64 = 0.6; // the same at a backend that talks
+const HOLD: f64 = 0.5; // share of an aim that a request may wait for a place at most
+const IN_TIME: f64 = 3.0; // mean answers that must fit in what is left of its aim then: most come in that
+const CROWD: f64 = 3.0; // how much sooner than that the line is full: its tail would wait for all before it
+const SILENCE: f64 = 0.35; // share of an aim after which it is asked whether a backend is silent
+const DEAD: f64 = 6.0; // answers missed from which it counts as dead: wrong once in 400
+const HEDGE: f64 = 0.6; // share of an aim after which an attempt is repeated elsewhere
+const COPY_COST: f64 = 3.0; // what that draws, where a retry draws 1: the first one still runs
 const RETRY_SHARE: f64 = 0.1; // further attempts per first attempt: retries cannot feed an overload
 const RETRY_STORE: f64 = 10.0; // and the store of them
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
@@ -79,7 +83,9 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let usual =
             settings.classes.iter().map(|c| Usual { recent: c.aim as f64 * 0.15, ..Usual::default() });
-        let usual = usual.map(|u| Usual { calm: u.recent, at: now, ..u }).collect();
+        let usual: Vec<Usual> =
+            usual.map(|u| Usual { calm: u.recent, long: u.recent, at: now, ..u }).collect();
+        let pace = usual.iter().map(|u| u.recent).sum::<f64>() / usual.len().max(1) as f64;
         let shares = u64::from(settings.gateways.max(1));
         // Most of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
         let period = 1.5 * (shares as f64 - 1.0) / settings.limits.peer_in_per_s.max(1.0);
@@ -92,6 +98,7 @@
             usual,
             retries: RETRY_STORE,
             places: PLACES,
+            pace,
             period: if few { ((period * SECOND) as Micros).max(50_000) } else { 0 },
             shares,
             s: settings,
@@ -180,7 +187,7 @@
         let (quota_wait, ceiling_wait) = self.wait_for_room(&req);
         let wait = quota_wait.into_iter().chain(ceiling_wait).reduce(f64::max);
         // The fuller the line, the fewer customers may join it; the same ones for an epoch, as on the ladder.
-        let line = self.waiting.len() as f64 / (self.limit() * HOLD);
+        let line = CROWD * self.waiting.len() as f64 * self.pace / self.limit() / self.hold(&req).max(1.0);
         let full = self.out as f64 >= self.limit() && self.draw(req.customer) >= 1.0 - line;
         if wait.is_some() && !last {
             self.requests.entry(id).and_modify(|o| o.held = held);
@@ -332,20 +339,36 @@
 
     // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
 
-    fn feel(&mut self, ratio: f64) {
+    /// An answer by its time over what is wanted of its class, and over the class's time on calm servers.
+    fn feel(&mut self, pressure: f64, strain: f64) {
         let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
-        self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
+        self.pressure = self.pressure * keep + pressure.min(4.0) * (1.0 - keep);
+        self.strain = self.strain * keep + strain.min(10.0) * (1.0 - keep);
         self.pressure_at = self.now;
         // Back to where it began at any pressure short of an alert: else a bound once cut stays cut.
-        let below = if self.places < PLACES { ALERT_OFF } else { GROW };
-        if self.pressure < below && self.out as f64 > self.limit() * 0.7 {
+        let fits = if self.places < PLACES { self.pressure < ALERT_OFF } else { self.strain < GROW };
+        if fits && self.out as f64 > self.limit() * 0.7 {
             self.places *= 1.0 + 2.0 / self.limit().max(2.0).powi(2);
         }
     }
 
-    /// The bound on what this gateway has out: those left when backends fall must not inherit their load.
+    /// The bound on what this gateway has out: those left when backends fall must not inherit their load, nor
+    /// the warm that of the cold, nor the quick that of the slow.
     fn limit(&self) -> f64 {
-        (self.places * self.order.len() as f64 / self.shares as f64).max(1.0)
+        (self.places * self.able / self.shares as f64).max(1.0)
+    }
+
+    /// Backends as many as the ready ones are worth.
+    fn count_able(&mut self) {
+        let able = |p: &usize| self.warmth(self.backends.at(*p)).0.min(1.0 / self.backends.at(*p).slow);
+        self.able = self.order.iter().map(|p| able(p).min(1.0)).sum();
+    }
+
+    /// How long a request may wait for a place: sent later, it would likely be answered too late.
+    fn hold(&self, req: &Request) -> f64 {
+        let k = usize::from(req.class);
+        let aim = self.s.classes[k].aim as f64;
+        (aim - IN_TIME * self.usual[k].recent).clamp(0.0, aim * HOLD)
     }
 
     fn step_alert(&mut self, act: &mut Vec<Action>) {
@@ -432,7 +455,8 @@
             });
             let tried = o.attempts.iter().any(|a| a.to.backend == bid);
             let (warmth, may) = self.warmth(b);
-            let weight = b.size * warmth / b.slow * all as f64 / self.ready_size / 2.0;
+            // Its slowness was learned while it was cold: by both, it would count twice.
+            let weight = b.size * warmth.sqrt() / b.slow * all as f64 / self.ready_size / 2.0;
             if !fits || !may || (want < all && mix(self.rng ^ (step as u64) << 40) > weight) {
                 continue;
             }
@@ -503,10 +527,12 @@
         u.recent += (took - u.recent) / u.count.min(20.0);
         // Down at once, up by a percent a second: half a minute of overload must not pass for calm.
         let creep = 1.0 + (now - u.at) as f64 / SECOND * CALM_CREEP;
-        u.calm = if u.count <= 20.0 { u.recent.min(aim * 0.3) } else { u.recent.min(u.calm * creep) };
+        u.long += (took - u.long) / u.count.min(LONG);
+        u.calm = if u.count <= 20.0 { u.recent.min(aim * 0.3) } else { u.long.min(u.calm * creep) };
         u.at = now;
-        let norm = (u.calm * CALM_MULTIPLE).min(aim * AIM_SHARE);
-        self.feel(took / norm.max(1.0));
+        let strain = took / u.calm.max(1.0);
+        self.pace += 0.05 * (took - self.pace);
+        self.feel(took / (aim * AIM_SHARE), strain);
     }
 
     fn on_answer(&mut self, bid: BackendId, outcome: Outcome, took: Micros, class: Option<usize>) {
@@ -522,7 +548,7 @@
         h.heard = now;
         if outcome == Outcome::Full {
             b.queue += self.shares as f64;
-            return self.feel(2.0);
+            return self.feel(2.0, 7.0);
         }
         let sick = h.doubt(now) * 0.85 + if bad { 0.15 } else { 0.0 } > SICK_ERRORS;
         if bad && (sick || h.strikes > 0) {
@@ -577,8 +603,9 @@
         let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
         let single = o.out() == 0 || self.s.limits.second_copies;
-        let sent = allowed && useful && room && single && self.retries >= 1.0 && self.send(id, act);
-        self.retries -= f64::from(u8::from(sent));
+        let cost = if o.out() == 0 { 1.0 } else { COPY_COST };
+        let sent = allowed && useful && room && single && self.retries >= cost && self.send(id, act);
+        self.retries -= if sent { cost } else { 0.0 };
         sent
     }
 
@@ -626,6 +653,7 @@
                 self.waiting.push_back(id);
             }
         }
+        self.count_able();
         self.step_alert(act);
         self.dispatch(act);
         let ready = |p: &u16| self.peers.get(p).is_some_and(|p| p.next <= now);
@@ -646,8 +674,7 @@
     /// Ends a request that has waited for a place for as long as it may; true if it need not wait.
     fn give_up(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let Some(o) = self.requests.get(&id).filter(|o| !o.done && o.out() == 0) else { return true };
-        let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
-        let end = self.now > o.arrived + (patience * HOLD) as Micros || !self.may_wait(o, self.now);
+        let end = self.now > o.arrived + self.hold(&o.req) as Micros || !self.may_wait(o, self.now);
         if end {
             self.finish(id, act);
         }
@@ -665,19 +692,29 @@
         let Some(a) = o.attempts.iter_mut().rev().find(|a| a.out && !a.cancelled) else { return };
         let (bid, hedge_at) = (a.to.backend, a.sent + (patience * HEDGE) as Micros);
         let Some(b) = self.backends.get_mut(&bid) else { return };
+        // A call-off frees nothing where work runs on, and a copy runs beside the first: only a silence that
+        // no backend at work would keep is taken for death, and for that alone a backend is rested.
+        let usual = (self.usual[k].recent * b.slow / f64::from(b.out.max(1))).max(1.0);
         let silent = b.health[k].heard < a.sent;
-        if !silent && now < hedge_at {
-            return self.checks.push(Reverse((hedge_at, id)));
+        let dead = silent && (now - a.sent) as f64 >= DEAD * usual;
+        let sure_at = if silent { a.sent + (DEAD * usual) as Micros + 1 } else { Micros::MAX };
+        if !dead && (now < hedge_at || silent) {
+            self.checks.push(Reverse((if now < hedge_at { hedge_at.min(sure_at) } else { sure_at }, id)));
+        }
+        if !dead && now < hedge_at {
+            return;
         }
-        let (hedge, limits) = ((silent || self.rung == 0) && !once, &self.s.limits);
-        if hedge && !limits.second_copies && silent && limits.cancel && self.retries >= 1.0 {
+        let (again, limits) = ((dead || self.rung == 0) && !once, &self.s.limits);
+        let move_it = again && dead && now < hedge_at && !limits.second_copies && limits.cancel;
+        if move_it && self.retries >= COPY_COST {
+            self.retries -= COPY_COST - 1.0; // the rest with the retry that follows
             o.call_off(None, true, act);
         }
-        if silent && now >= b.health[k].rest_until {
+        if dead && now >= b.health[k].rest_until {
             b.health[k].rest(now);
             self.learn(bid, k, None, true);
         }
-        if hedge && self.s.limits.second_copies {
+        if again && self.s.limits.second_copies {
             self.again(id, act);
         }
     }
@@ -911,6 +948,7 @@
         let (backends, me) = (&self.backends, self.s.me.0);
         let own = |place: &usize| mix(backends.at(*place).listed.backend.0 ^ u64::from(me) << 48);
         self.order.sort_by(|a, b| own(a).total_cmp(&own(b)));
+        self.count_able();
         self.dispatch(act);
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -204,6 +204,8 @@
 pub struct Usual {
     pub recent: f64,
     pub calm: f64,
+    /// The mean whose least is the calm time.
+    pub long: f64,
     pub count: f64,
     pub at: Micros,
 }
@@ -231,11 +233,16 @@
     /// The places of the ready ones, in an order of this gateway's own.
     pub(crate) order: Vec<usize>,
     pub(crate) ready_size: f64,
+    /// As many as the ready ones are worth, the cold and the slow for less than one.
+    pub(crate) able: f64,
     /// Whether zones could be reached.
     pub(crate) zones: BTreeMap<u8, Health>,
     pub(crate) usual: Vec<Usual>,
     pub(crate) pressure: f64,
     pub(crate) pressure_at: Micros,
+    /// Answers' times over those on calm servers, and the mean of all, in microseconds.
+    pub(crate) strain: f64,
+    pub(crate) pace: f64,
     /// Recent share of requests inside their quota that found no place.
     pub(crate) turned_away: f64,
     pub(crate) rung: usize,
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -24,6 +24,8 @@
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last held.
     pub known: Roster,
+    /// Where the count service is, and how long an answer of it is waited for; none where the settings have none.
+    pub counter: Option<(SocketAddr, Micros)>,
     pub settings: Settings,
     pub vocabulary: Vocabulary,
     pub sites: Sites,
@@ -179,6 +181,11 @@
         if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateways)) {
             return Err("peers does not have one address for each of setting n_instances".into());
         }
+        let counter = if settings.limits.counter {
+            Some((address(text(json, "counter")?, "counter")?, conf.micros("family_info.count_wait_us")?))
+        } else {
+            None
+        };
         Ok(Config {
             listen: place("LB_LISTEN", "listen")?,
             discovery: place("LB_DISCOVERY", "discovery")?,
@@ -187,6 +194,7 @@
             memory: whole(json, "limits", "memory_mb")?.saturating_mul(1 << 20),
             peers,
             known,
+            counter,
             connect_timeout: conf.micros("limits.connect_timeout_us")?,
             keepalive: conf.micros("limits.keepalive_us")?,
             settings,
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -7,6 +7,7 @@
 use crate::clients::{Accepted, Clients, Incoming, Origin};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
 use crate::reload::Reload;
@@ -32,8 +33,9 @@
 const SIGNALS: Token = Token(1);
 const DISCOVERY: Token = Token(2);
 const PEERS: Token = Token(3);
+const COUNTER: Token = Token(4);
 /// From here on, even tokens are clients and odd ones backends.
-const FIRST: usize = 4;
+const FIRST: usize = 6;
 
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
@@ -64,6 +66,7 @@
     watch: Watch,
     reload: Reload,
     peers: Option<Peers>,
+    counter: Option<Counter>,
     signals: Signals,
     requests: Requests,
     timers: Timers,
@@ -143,6 +146,7 @@
             watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
             reload,
             peers,
+            counter: config.counter.map(|(at, wait)| Counter::new(at, wait, COUNTER)),
             signals,
             requests,
             timers,
@@ -214,6 +218,12 @@
                 LISTENER => self.accept_more = true,
                 SIGNALS => self.take_signals(),
                 PEERS => self.hear_peers(),
+                COUNTER => {
+                    if let Some(counter) = &mut self.counter {
+                        counter.ready(self.now);
+                    }
+                    self.pump();
+                }
                 Token(t) if (t - FIRST) % 2 == 1 => {
                     // The true time: a connection rests for less than a tick.
                     self.backends.ready((t - FIRST) / 2, self.clock.now(), writable, closed);
@@ -354,8 +364,16 @@
                     self.backends.sweep(self.now);
                     self.clients.sweep(self.now);
                     self.requests.sweep(self.now);
+                    if let Some(counter) = &mut self.counter {
+                        counter.sweep(self.now);
+                    }
                     self.timers.set(self.now + SWEEP, Due::Sweep);
                 }
+                Due::Count => {
+                    if let Some(counter) = &mut self.counter {
+                        counter.overdue(self.now);
+                    }
+                }
                 Due::Accept => self.accept(),
                 Due::Reload => self.reload(),
                 Due::Close => {
@@ -414,6 +432,10 @@
             for done in std::mem::take(&mut self.backends.done) {
                 self.finish(done);
             }
+            if let Some(counter) = &mut self.counter {
+                let counted = |Counted { name, outcome, total }| Event::Counted { name, outcome, total };
+                self.events.extend(counter.done.drain(..).map(counted));
+            }
             let Some(event) = self.events.pop_front() else { return };
             let mut actions = std::mem::take(&mut self.actions);
             self.gateway.handle(self.now, event, &mut actions);
@@ -494,11 +516,7 @@
             // The watch is always on: a real ingress must keep one in any case.
             Action::Watch(_) => {}
             Action::FetchRoster => self.watch.fetch_whole(),
-            // There is no counter among the real ingresses: nothing was added.
-            Action::Count { name, .. } => {
-                let (outcome, total) = (Outcome::ConnectFailed, 0.0);
-                self.events.push_back(Event::Counted { name, outcome, total });
-            }
+            Action::Count { name, delta, lifetime } => self.count(name, delta, lifetime),
             Action::Log(text) => crate::log(&text),
         }
     }
@@ -560,6 +578,22 @@
         }
     }
 
+    fn count(&mut self, name: u64, delta: f64, lifetime: Micros) {
+        let (now, registry) = (self.now, self.poll.registry());
+        match &mut self.counter {
+            Some(counter) => {
+                if let Some(at) = counter.call((name, delta, lifetime), now, registry) {
+                    self.timers.set(at, Due::Count);
+                }
+            }
+            // There is none: nothing was added.
+            None => {
+                let (outcome, total) = (Outcome::ConnectFailed, 0.0);
+                self.events.push_back(Event::Counted { name, outcome, total });
+            }
+        }
+    }
+
     // ---- The end ----
 
     /// Whether all that was taken is answered, and nobody is left who might say more.
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod clock;
 mod config;
+mod counter;
 mod discovery;
 mod ingress;
 mod peers;
--- a/crates/ingress/src/timers.rs
+++ b/crates/ingress/src/timers.rs
@@ -20,6 +20,8 @@
     Connect(Link),
     /// A probe is given up.
     Probe(Link, BackendId, Micros),
+    /// A call of the count service is over.
+    Count,
     Sweep,
     Accept,
     /// The configuration is to be read again.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod call;
 pub mod resp;
+pub mod tally;
