--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -296,8 +296,11 @@
                 quota = Some((req.units - room) / plan.rate);
             }
         }
-        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts.
-        let open = c.open + c.others_open + (unheard / req.units.max(0.1)) as u32;
+        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts, as
+        // far as it is still out.
+        let lasts = (IN_TIME * self.usual[usize::from(req.class)].recent).min((self.period + UNHEARD) as f64);
+        let begun = c.others * lasts / SECOND / req.units.max(0.1);
+        let open = c.open + c.others_open + begun as u32;
         if plan.open_cap > 0 && open >= plan.open_cap {
             quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)].calm / SECOND));
         }
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -366,12 +366,14 @@
 struct Fleet {
     rigs: Vec<Rig>,
     carried: u64,
+    /// How long an answer takes.
+    took: Micros,
 }
 
 impl Fleet {
     fn new(gateways: u16) -> Fleet {
         let rig = |me| Rig::with(Settings { gateways, me: GatewayNo(me), ..settings() }, 6);
-        Fleet { rigs: (0..gateways).map(rig).collect(), carried: 0 }
+        Fleet { rigs: (0..gateways).map(rig).collect(), carried: 0, took: 100_000 }
     }
 
     /// Carries out what gateway `from` asked for; answers come at once. Returns how many were sent on. Every
@@ -383,7 +385,7 @@
             let (to, event) = match action {
                 Action::Send { id, backend, .. } => {
                     sent += 1;
-                    let (outcome, took) = (Outcome::Ok, 100_000);
+                    let (outcome, took) = (Outcome::Ok, self.took);
                     let (attempt, complete) = (0, true);
                     let (metered, charged, report) = (None, None, None);
                     let event = Event::Settled {
@@ -854,3 +856,40 @@
     assert!(quick > slow && slow > late, "{quick}, {slow} and {late} wait");
     assert!(late <= 1, "with answers of 400 ms none fits behind those that are out: {late} wait");
 }
+
+/// Guards against taking all that peers began in half a second for still out: with answers of a tenth of that a customer
+/// under half of its cap was refused wherever it came next.
+#[test]
+fn a_cap_counts_what_peers_likely_have_out_and_not_all_that_they_began() {
+    let capped = Plan { open_cap: 3, ..plan(40.0, 80.0) };
+    let rig = |me| {
+        let s = Settings {
+            gateways: 3,
+            me: GatewayNo(me),
+            plans: vec![capped.clone(), plan(1e6, 1e6)],
+            ..settings()
+        };
+        Rig::with(s, 6)
+    };
+    let mut fleet = Fleet { rigs: (0..3).map(rig).collect(), carried: 0, took: 40_000 };
+    // The other gateway has had answers, of other customers.
+    for n in 0..20 {
+        let (_, actions) = fleet.rigs[1].ask_of(0, 1, 100 + n, 1.0, 3.0);
+        fleet.carry(1, actions, 0);
+    }
+    fleet.rigs.iter_mut().for_each(|r| drop(r.pass(4 * S)));
+    // Twelve a second through one gateway, answered at once; at another now and then.
+    let (mut asked, mut sent) = (0, 0);
+    for n in 0..200 {
+        let at = usize::from(n % 10 == 9);
+        let through = fleet.ask(at, 0, 1.0, 3.0, 0);
+        if at == 1 && n > 20 {
+            (asked, sent) = (asked + 1, sent + through);
+        }
+        for n in 0..3 {
+            let actions = fleet.rigs[n].pass(60_000);
+            fleet.carry(n, actions, 0);
+        }
+    }
+    assert_eq!((asked, sent), (18, 18), "refused under its cap");
+}
--- a/crates/fleet/src/judge/mod.rs
+++ b/crates/fleet/src/judge/mod.rs
@@ -18,8 +18,6 @@
 pub const ON_SOCKETS: Micros = 50_000;
 /// How long after the client's deadline an answer still counts, besides.
 pub const ANSWER_SLACK: Micros = 16_000;
-/// How long after it was told that a backend drains an ingress may still send it new work.
-pub const DRAIN_GRACE: Micros = SECOND;
 /// The slack of a ceiling: a share of its burst, or the largest request if that is more ...
 pub const CEILING_SLACK: f64 = 0.1;
 /// ... and what its rate gives in so many seconds.
@@ -167,6 +165,13 @@
         /// When the backend started.
         started: Micros,
     },
+    /// An attempt is out no longer: its answer is written, or its connection has ended.
+    Over {
+        /// The request.
+        id: u64,
+        /// Which backend had it.
+        backend: usize,
+    },
     /// A backend turned it away unseen.
     TurnedAway {
         /// The request.
@@ -186,6 +191,8 @@
     backend: usize,
     pod: usize,
     void: bool,
+    /// It is out no longer.
+    over: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -216,6 +223,10 @@
 pub struct Judge {
     classes: Vec<(Effect, f64)>,
     plans: Vec<crate::scenario::Plan>,
+    second_copies: bool,
+    drain_grace: Micros,
+    /// Attempts out, by account.
+    out: HashMap<u32, u32>,
     requests: HashMap<u64, Request>,
     told: HashMap<(usize, usize), Told>,
     /// Ingresses that were killed: what reaches their sockets until they are gone is lost with them.
@@ -245,6 +256,9 @@
         Judge {
             classes: s.classes.iter().map(|c| (c.effect, c.units)).collect(),
             plans: s.plans.clone(),
+            second_copies: s.network.second_copies,
+            drain_grace: s.network.drain_grace,
+            out: HashMap::new(),
             requests: HashMap::new(),
             told: HashMap::new(),
             killed: HashSet::new(),
@@ -344,6 +358,7 @@
                 told.started = started;
             }
             Seen::Reached { .. } => self.reached(at, seen),
+            Seen::Over { id, backend } => self.attempt_over(at, id, backend),
             Seen::TurnedAway { id, backend } => {
                 let attempts = self.requests.get_mut(&id).map(|r| &mut r.attempts);
                 let last =
@@ -460,13 +475,16 @@
             _ => None,
         };
         let (first, try_) = (r.attempts.is_empty(), r.try_);
-        r.attempts.push(Attempt { at, backend, pod, void: false });
+        r.attempts.push(Attempt { at, backend, pod, void: false, over: false });
+        let out = self.out.entry(try_.account).or_default();
+        *out += 1;
+        let others = *out - 1;
         if let Some(what) = wrong {
             self.broken(Rule::Effects, id, at, what);
         }
         if first {
             let plan = &self.plans[try_.plan];
-            self.worth.sent_on(at, &try_);
+            self.worth.sent_on(at, &try_, others);
             let most = self.classes.iter().map(|c| c.1).fold(0.0, f64::max);
             let slack = (plan.ceiling_burst * CEILING_SLACK).max(most) + plan.ceiling * CEILING_SECONDS;
             if plan.ceiling > 0.0 {
@@ -481,10 +499,29 @@
         }
     }
 
+    /// An attempt is out no longer. Where no request may have two out, another must not have been sent long before: how
+    /// long, is what the end of one connection may be seen after the use of another.
+    fn attempt_over(&mut self, at: Micros, id: u64, backend: usize) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(n) = r.attempts.iter().position(|a| !a.over && a.backend == backend) else { return };
+        r.attempts[n].over = true;
+        let under_way = self.slow.get(&r.ingress).copied().unwrap_or(0);
+        let second = r.attempts[n + 1..].iter().find(|a| at > a.at + ON_SOCKETS + under_way);
+        let second = second.map(|a| (a.backend, (at - a.at) / 1000));
+        let out = self.out.entry(r.try_.account).or_default();
+        *out = out.saturating_sub(1);
+        if let Some((other, ms)) = second.filter(|_| !self.second_copies) {
+            let what = format!("out at backend {other} for {ms} ms while backend {backend} still had it");
+            self.broken(Rule::Effects, id, at, what);
+        }
+    }
+
     fn drain(&mut self, at: Micros, id: u64, ingress: usize, backend: usize, first_byte: Micros) {
         let Some(told) = self.told.get(&(ingress, backend)).filter(|t| !t.up) else { return };
         // An ingress that stood still had no chance to stop.
-        if first_byte > told.since + DRAIN_GRACE + ON_SOCKETS && !self.excused(ingress, first_byte - SECOND) {
+        if first_byte > told.since + self.drain_grace + ON_SOCKETS
+            && !self.excused(ingress, first_byte - SECOND)
+        {
             let by = (first_byte - told.since) / 1000;
             let what = format!(
                 "ingress {ingress} sent it to backend {backend} {by} ms after it was told to drain it"
@@ -535,6 +572,12 @@
 
     /// The end of a run: what is still open has had its time.
     pub fn finish(&mut self, at: Micros) {
+        let still: Vec<(u64, usize)> = self
+            .requests
+            .values()
+            .flat_map(|r| r.attempts.iter().filter(|a| !a.over).map(|a| (r.try_.id, a.backend)))
+            .collect();
+        still.into_iter().for_each(|(id, backend)| self.attempt_over(at, id, backend));
         let late = |r: &Request| r.end == End::Open && at > r.try_.deadline + ANSWER_SLACK + ON_SOCKETS;
         let mut open: Vec<u64> = self.requests.values().filter(|r| late(r)).map(|r| r.try_.id).collect();
         open.sort_unstable();
--- a/crates/fleet/src/judge/tests.rs
+++ b/crates/fleet/src/judge/tests.rs
@@ -131,3 +131,64 @@
     reached(&mut j, 5 * SECOND, 3, 5, 0);
     assert_eq!(rules(&j), [Rule::Drains], "listed as up again");
 }
+
+/// A judge of a site where no request may have two attempts out, and where an account may have two out.
+fn strict() -> Judge {
+    let text = include_str!("../../scenarios/calm.toml");
+    let text = text.replacen("[ingresses]", "[network]\nsecond_copies = false\n[ingresses]", 1);
+    let text = text.replacen("rate = 1.6", "open = 2\nrate = 1.6", 1);
+    Judge::new(&Scenario::parse("strict.toml", &text).unwrap_or_else(|e| panic!("{}", e[0])), 0)
+}
+
+#[test]
+fn two_attempts_at_once_are_found_where_they_are_not_allowed() {
+    for (ends, broken) in [(100 + ON_SOCKETS, false), (101 + ON_SOCKETS, true), (SECOND, true)] {
+        let mut j = strict();
+        asked(&mut j, 0, 1, 0);
+        reached(&mut j, 10, 1, 0, 0);
+        reached(&mut j, 100, 1, 1, 0);
+        j.note(ends, Seen::Over { id: 1, backend: 0 });
+        assert_eq!(rules(&j).contains(&Rule::Effects), broken, "the first ends at {ends}");
+    }
+    // One after the other is well, and so are copies where the site allows them.
+    let mut j = strict();
+    asked(&mut j, 0, 1, 0);
+    reached(&mut j, 10, 1, 0, 0);
+    j.note(20, Seen::Over { id: 1, backend: 0 });
+    reached(&mut j, 30, 1, 1, 0);
+    j.note(SECOND, Seen::Over { id: 1, backend: 1 });
+    assert_eq!(rules(&j), []);
+    let mut j = judge();
+    asked(&mut j, 0, 1, 0);
+    reached(&mut j, 10, 1, 0, 0);
+    reached(&mut j, 20, 1, 1, 0);
+    j.note(SECOND, Seen::Over { id: 1, backend: 0 });
+    assert_eq!(rules(&j), []);
+}
+
+/// Guards against a judge that overlooks the copy whose first attempt never ends.
+#[test]
+fn two_attempts_that_are_both_out_at_the_end_are_found() {
+    let mut j = strict();
+    asked(&mut j, 0, 1, 0);
+    reached(&mut j, 10, 1, 0, 0);
+    reached(&mut j, 20, 1, 1, 0);
+    j.note(30, Seen::Answered(1, Answer::Failed));
+    j.finish(SECOND);
+    assert_eq!(rules(&j), [Rule::Effects]);
+}
+
+#[test]
+fn what_is_sent_on_over_a_cap_is_beyond_the_quota() {
+    let mut j = strict();
+    for id in 1..=4 {
+        let try_ = Try { id, first: id, account: 9, class: 0, plan: 0, deadline: SECOND };
+        j.note(0, Seen::Asked(try_, 0));
+        if id == 4 {
+            j.note(35, Seen::Over { id: 1, backend: 0 });
+            j.note(35, Seen::Over { id: 2, backend: 0 });
+        }
+        reached(&mut j, 10 * id, id, 0, 0);
+    }
+    assert_eq!(j.worth().sent_beyond, 1, "the third; the fourth came after two were over");
+}
--- a/crates/fleet/src/judge/worth.rs
+++ b/crates/fleet/src/judge/worth.rs
@@ -108,11 +108,15 @@
         }
     }
 
-    /// A try is sent on for the first time.
-    pub(super) fn sent_on(&mut self, at: Micros, t: &Try) {
+    /// A try is sent on for the first time, while so many other attempts of its account are out.
+    pub(super) fn sent_on(&mut self, at: Micros, t: &Try, out: u32) {
         let (worth, plan) = (self.worth(t), &self.plans[t.plan]);
         let units = self.classes[t.class].units;
-        if plan.rate > 0.0 && self.sent.take(t.account, at, units, plan.rate, plan.burst, false) < 0.0 {
+        // Beyond the quota it takes nothing, whichever of the two it is beyond.
+        let crowded = plan.open > 0 && out >= plan.open;
+        let mut short =
+            || plan.rate > 0.0 && self.sent.take(t.account, at, units, plan.rate, plan.burst, false) < 0.0;
+        if crowded || short() {
             self.beyond.insert(t.id);
             self.sent_beyond += 1;
             self.lost_beyond += worth * plan.beyond_costs;
--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -167,6 +167,11 @@
         util
     }
 
+    /// Requests that wait for a core.
+    pub fn queue(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Requests in work and waiting.
     pub fn held(&self) -> usize {
         self.running + self.waiting.len()
@@ -188,6 +193,7 @@
             pod: 1,
             cold: false,
             listed: true,
+            runs_on: false,
         }
     }
 
--- a/crates/fleet/src/rig/backends.rs
+++ b/crates/fleet/src/rig/backends.rs
@@ -7,7 +7,7 @@
 use crate::arrivals::lot;
 use crate::judge::Seen;
 use crate::machine::{Job, Machine, Taken};
-use crate::scenario::{Effect, Micros, Scenario, SECOND};
+use crate::scenario::{Effect, Micros, Reports, Scenario, SECOND};
 use mio::net::TcpListener;
 use mio::{Interest, Token};
 use slab::Slab;
@@ -74,11 +74,20 @@
     first_byte: Option<Micros>,
     /// Bytes of it that have come.
     came: usize,
-    /// Commands that are not answered, in their order, and the answers that wait for those before them.
-    waiting: VecDeque<(usize, Option<Vec<u8>>)>,
+    /// Commands that are not answered, in their order.
+    waiting: VecDeque<Owed>,
     shut: bool,
 }
 
+/// A command that is not answered.
+struct Owed {
+    /// Its work; none where it is never begun.
+    number: Option<usize>,
+    id: u64,
+    /// The answer, while it waits for those before it.
+    text: Option<Vec<u8>>,
+}
+
 /// A command under work.
 struct Work {
     serial: u64,
@@ -211,7 +220,7 @@
     }
 
     /// Ends a backend's process: connections are reset and new ones refused.
-    pub fn die(&mut self, slot: usize) {
+    pub fn die(&mut self, slot: usize, context: &mut Context) {
         let s = &mut self.slots[slot];
         (s.alive, s.life) = (false, s.life + 1);
         for key in std::mem::take(&mut s.listeners) {
@@ -219,7 +228,7 @@
         }
         let gone: Vec<usize> =
             self.conns.iter().filter(|(_, c)| c.slot == slot).map(|(key, _)| key).collect();
-        gone.into_iter().for_each(|key| self.reset(key));
+        gone.into_iter().for_each(|key| self.reset(key, context));
     }
 
     /// Starts a backend's process, cold; under a new name it is another backend.
@@ -234,17 +243,21 @@
         self.listen(slot, context)
     }
 
-    fn reset(&mut self, key: usize) {
+    fn reset(&mut self, key: usize, context: &mut Context) {
         if let Some(conn) = self.conns.get(key) {
             conn.pipe.reset_on_close();
-            self.close(key);
+            self.close(key, context);
         }
     }
 
-    fn close(&mut self, key: usize) {
+    fn close(&mut self, key: usize, context: &mut Context) {
         let Some(conn) = self.conns.try_remove(key) else { return };
-        for (work, _) in conn.waiting {
-            // What waits is dropped; what runs goes on, and its answer reaches nobody.
+        let runs_on = self.scenario.set_of(conn.slot).runs_on;
+        let backend = self.slots[conn.slot].ident;
+        for Owed { number, id, .. } in conn.waiting {
+            context.see(Seen::Over { id, backend });
+            // What waits is dropped, where work does not run on; what runs goes on, and its answer reaches nobody.
+            let Some(work) = number.filter(|_| !runs_on) else { continue };
             if self.slots[conn.slot].machine.drop_waiting(work as u64) {
                 self.work.try_remove(work);
             }
@@ -289,18 +302,18 @@
             conn.came += came;
         }
         if !conn.pipe.flush() || flow == Flow::Reset {
-            return self.close(key);
+            return self.close(key, context);
         }
         let slot = conn.slot;
         if let Mode::Reset { byte } = self.slots[slot].mode.0 {
             if byte > 0 && conn.came >= byte as usize {
-                return self.reset(key);
+                return self.reset(key, context);
             }
         }
         self.take_commands(key, context);
         if flow == Flow::Ended {
             // An ingress that ends its sending gives its attempt up.
-            self.close(key);
+            self.close(key, context);
         }
     }
 
@@ -329,20 +342,27 @@
                     if let Some(known) = self.read_call(&customer, &id, &options) {
                         self.call(key, known, first_byte, context);
                     } else {
-                        self.say(key, b"-SYNTAX\r\n");
+                        self.say(key, b"-SYNTAX\r\n", context);
                     }
                 }
-                Some(b"PING") => self.say(key, b"+PONG\r\n"),
+                Some(b"PING") => self.say(key, b"+PONG\r\n", context),
                 Some(b"INFO") => {
                     let slot = conn.slot;
                     let machine = &mut self.slots[slot].machine;
                     machine.bears(context.now, PROBE_WORK);
-                    let load = format!("util={:.3}", machine.util(context.now, REPORT_PERIOD));
+                    let load = match self.scenario.network.reports {
+                        Reports::Answers => format!("util={:.3}", machine.util(context.now, REPORT_PERIOD)),
+                        Reports::Probes => format!("queue={},inflight={}", machine.queue(), machine.held()),
+                        Reports::None => {
+                            self.say(key, b"-NOPERM\r\n", context);
+                            continue;
+                        }
+                    };
                     let answer = format!("${}\r\n{load}\r\n", load.len());
-                    self.say(key, answer.as_bytes());
+                    self.say(key, answer.as_bytes(), context);
                 }
-                Some(b"CLIENT" | b"SELECT") => self.say(key, b"+OK\r\n"),
-                _ => self.say(key, b"-ERR unknown command\r\n"),
+                Some(b"CLIENT" | b"SELECT") => self.say(key, b"+OK\r\n", context),
+                _ => self.say(key, b"-ERR unknown command\r\n", context),
             }
         }
     }
@@ -385,17 +405,17 @@
             started: slot.machine.started,
         });
         if !slot.machine.bears(now, work) {
-            return self.die(index);
+            return self.die(index, context);
         }
         let mode = slot.mode.0;
         if mode == Mode::Hang {
-            conn.waiting.push_back((usize::MAX, None));
+            conn.waiting.push_back(Owed { number: None, id, text: None });
             return;
         }
         self.serial += 1;
         let (serial, conn_serial) = (self.serial, conn.serial);
         let number = self.work.insert(Work { serial, conn: key, conn_serial, id });
-        conn.waiting.push_back((number, None));
+        conn.waiting.push_back(Owed { number: Some(number), id, text: None });
         let window = if let Effect::Keyed { window, .. } = effect { *window } else { 0 };
         if let Some(k) = keyed.filter(|_| window > 0) {
             let known = self.keys.get(&(slot.pod, k)).is_some_and(|at| now < at + window);
@@ -420,7 +440,7 @@
             }
         }
         if mode == (Mode::Reset { byte: 0 }) {
-            self.reset(key);
+            self.reset(key, context);
         }
     }
 
@@ -447,7 +467,7 @@
             BackendDue::Byte { conn, serial, mut rest } => {
                 if self.conns.get(conn).is_some_and(|c| c.serial == serial) {
                     let next: Vec<u8> = rest.drain(..1).collect();
-                    self.say(conn, &next);
+                    self.say(conn, &next, context);
                     if !rest.is_empty() {
                         context.after(BYTE_PAUSE, Due::Backend(BackendDue::Byte { conn, serial, rest }));
                     }
@@ -470,9 +490,11 @@
         };
         let value = value_of(work.id);
         let load = self.slots[conn.slot].machine.util(context.now, REPORT_PERIOD);
-        let load = format!("util={load:.3}");
-        let answer =
-            format!("*3\r\n${}\r\n{value}\r\n$-1\r\n${}\r\n{load}\r\n", value.len(), load.len()).into_bytes();
+        let load = match self.scenario.network.reports {
+            Reports::Answers => format!("${}\r\nutil={load:.3}", format!("util={load:.3}").len()),
+            Reports::Probes | Reports::None => "$-1".into(),
+        };
+        let answer = format!("*3\r\n${}\r\n{value}\r\n$-1\r\n{load}\r\n", value.len()).into_bytes();
         self.answer(number, answer, context);
     }
 
@@ -482,12 +504,13 @@
         let Some(conn) = self.conns.get_mut(work.conn).filter(|c| c.serial == work.conn_serial) else {
             return;
         };
-        if let Some(place) = conn.waiting.iter_mut().find(|w| w.0 == number) {
-            place.1 = Some(text);
+        if let Some(owed) = conn.waiting.iter_mut().find(|w| w.number == Some(number)) {
+            owed.text = Some(text);
         }
-        let mode = self.slots[conn.slot].mode.0;
-        while let Some((_, Some(_))) = conn.waiting.front() {
-            let Some((_, Some(mut text))) = conn.waiting.pop_front() else { return };
+        let (mode, backend) = (self.slots[conn.slot].mode.0, self.slots[conn.slot].ident);
+        while conn.waiting.front().is_some_and(|w| w.text.is_some()) {
+            let Some(Owed { id, text: Some(mut text), .. }) = conn.waiting.pop_front() else { return };
+            context.see(Seen::Over { id, backend });
             match mode {
                 Mode::Spoil => {
                     let at = text.len() / 2;
@@ -504,14 +527,14 @@
                 _ => {}
             }
             if !conn.pipe.say(&text) {
-                return self.close(work.conn);
+                return self.close(work.conn, context);
             }
         }
     }
 
-    fn say(&mut self, key: usize, text: &[u8]) {
+    fn say(&mut self, key: usize, text: &[u8], context: &mut Context) {
         if self.conns.get_mut(key).is_some_and(|c| !c.pipe.say(text)) {
-            self.close(key);
+            self.close(key, context);
         }
     }
 
--- a/crates/fleet/src/rig/context.rs
+++ b/crates/fleet/src/rig/context.rs
@@ -2,6 +2,7 @@
 
 use super::backends::BackendDue;
 use super::clients::ClientDue;
+use super::counter::CounterDue;
 use super::discovery::DiscoveryDue;
 use super::peers::PeerDue;
 use super::processes::ProcessDue;
@@ -21,6 +22,7 @@
     Client(ClientDue),
     Backend(BackendDue),
     Discovery(DiscoveryDue),
+    Counter(CounterDue),
     Peer(PeerDue),
     Relay(RelayDue),
     Process(ProcessDue),
@@ -72,9 +74,11 @@
     Peer = 5,
     RelayListener = 6,
     Relay = 7,
+    CounterListener = 8,
+    Counter = 9,
 }
 
-const PARTS: usize = 8;
+const PARTS: usize = 10;
 
 /// The token of a part's socket.
 pub fn token(part: Part, key: usize) -> Token {
@@ -91,7 +95,9 @@
         4 => Part::Discovery,
         5 => Part::Peer,
         6 => Part::RelayListener,
-        _ => Part::Relay,
+        7 => Part::Relay,
+        8 => Part::CounterListener,
+        _ => Part::Counter,
     };
     (part, token.0 / PARTS)
 }
--- a/crates/fleet/src/rig/mod.rs
+++ b/crates/fleet/src/rig/mod.rs
@@ -5,6 +5,7 @@
 mod backends;
 mod clients;
 mod context;
+mod counter;
 mod discovery;
 mod peers;
 mod pipe;
@@ -23,6 +24,7 @@
 use backends::{BackendDue, Backends, Mode};
 use clients::Clients;
 use context::{owner, Context, Due, Part};
+use counter::Counter;
 use discovery::{AgentMode, Discovery, Line};
 use mio::{Events, Poll};
 use peers::Peers;
@@ -80,6 +82,7 @@
     backends: Backends,
     discovery: Discovery,
     peers: Peers,
+    counter: Option<Counter>,
     relays: Relays,
     processes: Processes,
     judge: Judge,
@@ -209,12 +212,13 @@
                 pod,
                 status: if set.listed { "up" } else { "removed" },
                 started,
-                weight: f64::from(set.cores) * set.speed,
+                weight: if s.network.weights { f64::from(set.cores) * set.speed } else { 1.0 },
                 addresses,
             });
         }
         let discovery = rig("cannot open discovery", Discovery::open(s, lines, &mut context))?;
         let peers = rig("cannot open the peers' relay", Peers::open(s, &mut context))?;
+        let counter = rig("cannot open the count service", Counter::open(s, &mut context))?;
         let processes = Processes::new(program, &s.ingresses, dir);
         let (mut fronts, mut configs) = (Vec::new(), Vec::new());
         for (ingress, listen) in listens.iter().copied().enumerate() {
@@ -231,7 +235,9 @@
             }
             let peers = rig("cannot open the peers' relay", peers.addresses(ingress))?;
             let (_, known) = discovery.known(ingress, None);
-            configs.push(told::config(s, ingress, &Addresses { listen, discovery: agent, peers }, &known));
+            let counter = counter.as_ref().map(|c| c.address(ingress));
+            let at = Addresses { listen, discovery: agent, peers, counter };
+            configs.push(told::config(s, ingress, &at, &known));
         }
         discovery.told_at_start(&mut context);
         let now = context.now;
@@ -244,6 +250,7 @@
             backends,
             discovery,
             peers,
+            counter,
             relays,
             processes,
             begin: now,
@@ -317,6 +324,8 @@
             Part::Peer => self.peers.ready(key, context),
             Part::RelayListener => self.relays.accept(key, context),
             Part::Relay => self.relays.ready(key, context),
+            Part::CounterListener => self.counter.iter_mut().for_each(|c| c.accept(key, context)),
+            Part::Counter => self.counter.iter_mut().for_each(|c| c.ready(key, context)),
         }
     }
 
@@ -351,6 +360,12 @@
             Due::Backend(due) => self.backends.due(due, &mut self.context),
             Due::Discovery(due) => self.discovery.due(due, &mut self.context),
             Due::Peer(due) => self.peers.due(due, &mut self.context),
+            Due::Counter(due) => {
+                let done = self.counter.as_mut().map(|c| c.due(due, &mut self.context));
+                if let Some(Err(e)) = done {
+                    self.failed = Some(RigError(format!("the count service can't come back: {e}")));
+                }
+            }
             Due::Relay(due) => {
                 if let Some((leg, ingress)) = self.relays.due(due, &mut self.context) {
                     self.leg_seen(leg, ingress, false);
@@ -448,7 +463,7 @@
         use context::Later;
         match later {
             Later::Die { slot, down, new_name } => {
-                self.backends.die(slot);
+                self.backends.die(slot, &mut self.context);
                 self.context.after(down, Due::Later(Later::Revive { slot, new_name }));
                 self.context.after(NOTICED, Due::Later(Later::Noticed { slot }));
             }
@@ -556,6 +571,11 @@
             Fault::Hostile { ingresses, count, manner, lasts } => {
                 ingresses.into_iter().for_each(|i| self.clients.hostile(i, count, manner, lasts, context));
             }
+            Fault::Counter { fault, lasts } => {
+                if let Some(counter) = &mut self.counter {
+                    counter.fail(fault, lasts, context);
+                }
+            }
             Fault::Leg { leg, fault, ingresses, lasts } => {
                 for ingress in ingresses {
                     self.relays.fail((leg, ingress), fault, lasts, &mut self.context);
--- a/crates/fleet/src/rig/tests.rs
+++ b/crates/fleet/src/rig/tests.rs
@@ -2,10 +2,11 @@
 
 use super::address;
 use super::context::{owner, Context, Due, Part};
+use super::counter::Counter;
 use super::discovery::{AgentMode, Discovery, Line};
 use super::peers::Peers;
 use super::relays::Relays;
-use crate::scenario::{Leg, LegFault, Micros, Scenario, SECOND};
+use crate::scenario::{CounterFault, Leg, LegFault, Micros, Scenario, SECOND};
 use mio::{Events, Poll};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -398,3 +399,79 @@
     told.ask("");
     assert_eq!(told.answer().0, 2);
 }
+
+// ---- The count service ----
+
+/// The count service alone, and a client of it.
+fn counting(delay: &str) -> (Alone<Counter>, TcpStream) {
+    let s = scenario(&format!("[network]\ncounter = [{delay}]\n[ingresses]\ncount = 2"));
+    let counter = alone(
+        |context| Counter::open(&s, context).unwrap().expect("the scenario has one"),
+        |counter, part, key, context| match part {
+            Part::CounterListener => counter.accept(key, context),
+            _ => counter.ready(key, context),
+        },
+        |counter, due, context| {
+            let Due::Counter(due) = due else { panic!("not the count service's") };
+            counter.due(due, context).unwrap();
+        },
+    );
+    let client = connected(&counter);
+    (counter, client)
+}
+
+fn connected(counter: &Alone<Counter>) -> TcpStream {
+    let client = TcpStream::connect(counter.part.address(1)).unwrap();
+    client.set_nonblocking(true).unwrap();
+    client
+}
+
+fn add(client: &mut TcpStream, amount: &str) {
+    let call = format!("*4\r\n$5\r\nTALLY\r\n$1\r\na\r\n${}\r\n{amount}\r\n$4\r\n9000\r\n", amount.len());
+    client.write_all(call.as_bytes()).unwrap();
+}
+
+fn says(counter: &mut Alone<Counter>, client: &mut TcpStream, want: &str) {
+    let mut came = Vec::new();
+    counter.until(want, |_| {
+        take(client, &mut came);
+        (came.len() >= want.len()).then_some(())
+    });
+    assert_eq!(String::from_utf8_lossy(&came), want);
+}
+
+fn fault(counter: &mut Alone<Counter>, fault: CounterFault, lasts: Micros) {
+    counter.part.fail(fault, lasts, &mut counter.context);
+}
+
+/// Guards against a stand-in that forgets what it left unanswered: it was added, and the answer comes late.
+#[test]
+fn a_silent_count_service_adds_and_answers_late_in_order() {
+    let (mut counter, mut client) = counting("\"0ms\", \"1ms\"");
+    add(&mut client, "2");
+    says(&mut counter, &mut client, "$1\r\n2\r\n");
+    fault(&mut counter, CounterFault::Silent, SECOND / 10);
+    add(&mut client, "3");
+    counter.until("it is added", |c| (c.unanswered == 1).then_some(()));
+    add(&mut client, "4");
+    says(&mut counter, &mut client, "$1\r\n5\r\n$1\r\n9\r\n");
+    assert_eq!(counter.part.added, 3);
+}
+
+#[test]
+fn a_busy_count_service_adds_nothing_and_one_that_was_gone_has_forgotten() {
+    let (mut counter, mut client) = counting("\"0ms\", \"1ms\"");
+    add(&mut client, "2");
+    says(&mut counter, &mut client, "$1\r\n2\r\n");
+    fault(&mut counter, CounterFault::Busy, 20 * SECOND);
+    add(&mut client, "2");
+    says(&mut counter, &mut client, "-BUSY\r\n");
+    fault(&mut counter, CounterFault::Gone, SECOND / 10);
+    counter.until("the connection ends", |_| take(&mut client, &mut Vec::new()).is_none().then_some(()));
+    assert!(TcpStream::connect(counter.part.address(1)).is_err(), "it is gone");
+    let at = counter.part.address(1);
+    let mut client = counter.until("it is back", |_| TcpStream::connect(at).ok());
+    client.set_nonblocking(true).unwrap();
+    add(&mut client, "1");
+    says(&mut counter, &mut client, "$1\r\n1\r\n");
+}
--- a/crates/fleet/src/rig/told.rs
+++ b/crates/fleet/src/rig/told.rs
@@ -1,8 +1,8 @@
 //! What an ingress is told: its configuration, in the form of the deployment page.
 
-use crate::judge::{ANSWER_SLACK, CEILING_SLACK, DRAIN_GRACE};
+use crate::judge::{ANSWER_SLACK, CEILING_SLACK};
 use crate::machine::COLD;
-use crate::scenario::{Effect, Scenario};
+use crate::scenario::{Effect, Reports, Scenario};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 
@@ -18,8 +18,13 @@
     pub discovery: SocketAddr,
     /// Its own socket for peers, each peer, and all of them.
     pub peers: (SocketAddr, Vec<SocketAddr>, SocketAddr),
+    /// The count service, where there is one.
+    pub counter: Option<SocketAddr>,
 }
 
+/// How long an answer of the count service is waited for.
+const COUNT_WAIT: u64 = 30_000;
+
 /// The configuration of an ingress.
 pub fn config(s: &Scenario, ingress: usize, at: &Addresses, known: &Value) -> Value {
     let (own, peers, all) = &at.peers;
@@ -34,6 +39,7 @@
         "peer_listen": own.to_string(),
         "peers": list,
         "peers_all": all.to_string(),
+        "counter": at.counter.map(|c| c.to_string()),
         "known": known,
         "settings": settings(s, ingress),
     })
@@ -52,11 +58,16 @@
     });
     let most = s.classes.iter().map(|c| c.units).fold(1.0, f64::max);
     let plans = s.plans.iter().map(|p| {
-        json!({"name": p.name, "quota_rate": p.rate, "burst": p.burst, "max_out": 0,
+        json!({"name": p.name, "quota_rate": p.rate, "burst": p.burst, "max_out": p.open,
                "never_over_rate": p.ceiling, "ceiling_burst": p.ceiling_burst,
                "ceiling_slack": (p.ceiling_burst * CEILING_SLACK).max(most), "worth_factor": p.price,
                "over_worth": 0.0, "beyond_costs": p.beyond_costs})
     });
+    let (how, fields) = match s.network.reports {
+        Reports::Answers => ("answers", vec!["load_share"]),
+        Reports::Probes => ("probe", vec!["depth", "concurrent"]),
+        Reports::None => ("none", vec![]),
+    };
     let mut models: Vec<&str> = s.backends.iter().map(|b| b.model.as_str()).collect();
     models.sort_unstable();
     models.dedup();
@@ -64,15 +75,15 @@
         "n_instances": s.ingresses.count, "slot_no": ingress, "zone": ingress % s.network.halls.len(),
         "tick_us": s.network.tick, "zones": s.network.halls, "skus": models,
         "grades": classes.collect::<Vec<_>>(), "contracts": plans.collect::<Vec<_>>(),
-        "limits": {"most_tries": 3, "second_copies": true, "cancelling": true, "may_probe": true,
+        "limits": {"most_tries": 3, "second_copies": s.network.second_copies, "cancelling": true, "may_probe": true,
                    "peers": s.network.peers, "retry_after": true, "max_retry_after_us": 2_000_000,
                    "max_open": 20_000, "connect_timeout_us": CONNECT_WITHIN, "keepalive_us": KEEPALIVE},
-        "family_info": {"peer_in_per_s": s.network.peer_in_per_s, "has_counter": false,
-                        "meter_period_us": 0, "post_paid": false, "most_units": most},
-        "rules": {"answer_slack_us": ANSWER_SLACK, "drain_grace_us": DRAIN_GRACE, "cold_from": COLD.from,
+        "family_info": {"peer_in_per_s": s.network.peer_in_per_s, "has_counter": s.network.counter.is_some(),
+                        "count_wait_us": COUNT_WAIT, "meter_period_us": 0, "post_paid": false, "most_units": most},
+        "rules": {"answer_slack_us": ANSWER_SLACK, "drain_grace_us": s.network.drain_grace, "cold_from": COLD.from,
                   "cold_us": COLD.warm_in, "overload_factor": COLD.factor, "fall_us": COLD.over,
                   "must_ask_in_us": 10_000_000},
-        "membership_mode": "push", "weights": "nominal",
-        "reporting": {"how": "answers", "fields": ["load_share"]},
+        "membership_mode": "push", "weights": if s.network.weights { "nominal" } else { "none" },
+        "reporting": {"how": how, "fields": fields},
     })
 }
--- a/crates/fleet/src/scenario/file.rs
+++ b/crates/fleet/src/scenario/file.rs
@@ -1,6 +1,6 @@
 //! The form of a scenario file.
 
-use super::timetable::{Row, Step};
+use super::timetable::{Fault, Row, Step};
 use super::{Diagnostic, Micros, SECOND};
 use serde::de::{self, Deserializer, Visitor};
 use serde::Deserialize;
@@ -88,6 +88,15 @@
     peer_delay: [Span; 2],
     peer_loss: f64,
     peer_in_per_s: f64,
+    /// Whether discovery tells sizes.
+    weights: bool,
+    /// Where load reports come: in answers, to probes alone, or not at all.
+    reports: String,
+    /// Whether one request may have two attempts out.
+    second_copies: bool,
+    drain_grace: Span,
+    /// The least and the most that the count service takes for an answer, where there is one.
+    counter: Option<[Span; 2]>,
 }
 
 impl Default for NetworkTable {
@@ -99,6 +108,11 @@
             peer_delay: [Span(1_600), Span(23_000)],
             peer_loss: 0.02,
             peer_in_per_s: 40.0,
+            weights: true,
+            reports: "answers".into(),
+            second_copies: true,
+            drain_grace: Span(SECOND),
+            counter: None,
         }
     }
 }
@@ -212,6 +226,9 @@
     ceiling: f64,
     #[serde(default)]
     ceiling_burst: f64,
+    /// Attempts that may be out at once inside the quota; 0 for no such quota.
+    #[serde(default)]
+    open: u32,
     #[serde(default = "one")]
     price: f64,
     #[serde(default = "one")]
@@ -236,6 +253,9 @@
     /// Whether it is listed from the start on; one that is not comes with `up`.
     #[serde(default = "yes")]
     listed: bool,
+    /// Whether work runs on, waiting or begun, when its attempt is called off.
+    #[serde(default)]
+    runs_on: bool,
 }
 
 fn queue() -> u32 {
@@ -290,6 +310,27 @@
     pub peer_loss: f64,
     /// Messages that an ingress takes in a second.
     pub peer_in_per_s: f64,
+    /// Whether discovery tells sizes.
+    pub weights: bool,
+    /// Where load reports come.
+    pub reports: Reports,
+    /// Whether one request may have two attempts out.
+    pub second_copies: bool,
+    /// How long after it was told that a backend drains an ingress may still send it new work.
+    pub drain_grace: Micros,
+    /// The least and the most that the count service takes for an answer; none where there is no such service.
+    pub counter: Option<(Micros, Micros)>,
+}
+
+/// Where load reports come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// In answers and to probes: the share of the cores in use.
+    Answers,
+    /// To probes alone: the queue and what is held.
+    Probes,
+    /// Nowhere.
+    None,
 }
 
 /// The ingress processes.
@@ -394,6 +435,8 @@
     pub ceiling: f64,
     /// Units at once that are never passed.
     pub ceiling_burst: f64,
+    /// Attempts that may be out at once inside the quota; 0 for no such quota.
+    pub open: u32,
     /// Factor on the worth.
     pub price: f64,
     /// Share of the worth that sending beyond the quota costs.
@@ -421,6 +464,8 @@
     pub cold: bool,
     /// Whether discovery lists them from the start on.
     pub listed: bool,
+    /// Whether work runs on, waiting or begun, when its attempt is called off.
+    pub runs_on: bool,
 }
 
 impl Scenario {
@@ -528,6 +573,18 @@
         c.want(from_zero(network.peer_in_per_s), at.clone(), "network.peer_in_per_s is a number from 0 up");
         let [least, most] = network.peer_delay;
         c.want(least.0 <= most.0, at.clone(), "network.peer_delay is the least and the most, in this order");
+        let reports = match network.reports.as_str() {
+            "answers" => Reports::Answers,
+            "probes" => Reports::Probes,
+            "none" => Reports::None,
+            other => {
+                c.wrong(at.clone(), format!("network.reports is answers, probes or none, not {other}"));
+                Reports::None
+            }
+        };
+        let counter = network.counter.map(|[least, most]| (least.0, most.0));
+        let in_order = counter.is_none_or(|(least, most)| least <= most);
+        c.want(in_order, at.clone(), "network.counter is the least and the most, in this order");
         let i = self.ingresses.into_inner();
         c.want((1..=MOST_INGRESSES).contains(&i.count), at.clone(), "count is from 1 to 64");
         c.want(i.cores > 0.0 && i.cores <= 64.0, at.clone(), "cores is above 0");
@@ -559,6 +616,7 @@
                 pod: b.pod,
                 cold: b.cold,
                 listed: b.listed,
+                runs_on: b.runs_on,
             });
         }
         let count = sets.iter().fold(0usize, |n, s| n.saturating_add(s.count));
@@ -569,7 +627,15 @@
         let lasts = self.lasts.get_ref().0;
         let mut steps: Vec<Step> = Vec::new();
         for row in self.at {
-            steps.extend(row.into_inner().check(i.count, count, self.seed, c));
+            let (span, row) = (row.span(), row.into_inner());
+            let step = row.check(i.count, count, self.seed, c);
+            let counts = step.as_ref().is_some_and(|s| matches!(s.fault, Fault::Counter { .. }));
+            c.want(
+                !counts || counter.is_some(),
+                span,
+                "there is no count service: network.counter is not given",
+            );
+            steps.extend(step);
         }
         steps.sort_by_key(|s| s.at);
         Scenario {
@@ -584,6 +650,11 @@
                 peer_delay: (least.0, most.0),
                 peer_loss: network.peer_loss,
                 peer_in_per_s: network.peer_in_per_s,
+                weights: network.weights,
+                reports,
+                second_copies: network.second_copies,
+                drain_grace: network.drain_grace.0,
+                counter,
             },
             ingresses: Ingresses {
                 count: i.count,
@@ -691,6 +762,7 @@
         burst: t.burst,
         ceiling: t.ceiling,
         ceiling_burst: t.ceiling_burst,
+        open: t.open,
         price: t.price,
         beyond_costs: t.beyond_costs,
     }
--- a/crates/fleet/src/scenario/timetable.rs
+++ b/crates/fleet/src/scenario/timetable.rs
@@ -108,6 +108,19 @@
     Slow(Micros),
 }
 
+/// How the count service fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CounterFault {
+    /// It adds, and answers nothing until it is well again.
+    Silent,
+    /// It turns every call away.
+    Busy,
+    /// Its answers are late by so much more.
+    Slow(Micros),
+    /// It ends, refuses connections, and comes back with every number forgotten.
+    Gone,
+}
+
 /// What goes wrong. Lists name ingresses or backends by their number, from 0; `lasts`, `down`, `every` and `delay` are
 /// spans of time.
 #[allow(missing_docs)] // each field is explained with its variant
@@ -165,6 +178,8 @@
     Hostile { ingresses: Vec<usize>, count: u32, manner: Manner, lasts: Micros },
     /// A leg of the way fails.
     Leg { leg: Leg, fault: LegFault, ingresses: Vec<usize>, lasts: Micros },
+    /// The count service fails.
+    Counter { fault: CounterFault, lasts: Micros },
 }
 
 /// The keys that each fault takes besides `at` and `what`: those it needs, and those it may have.
@@ -197,6 +212,10 @@
     ("leg-silent", &["leg", "for"], &["ingress"]),
     ("leg-reset", &["leg", "for"], &["ingress"]),
     ("leg-slow", &["leg", "delay", "for"], &["ingress"]),
+    ("counter-silent", &["for"], &[]),
+    ("counter-busy", &["for"], &[]),
+    ("counter-slow", &["delay", "for"], &[]),
+    ("counter-gone", &["for"], &[]),
 ];
 
 fn draw_share(count: usize, share: f64, seed: u64) -> Vec<usize> {
@@ -344,6 +363,10 @@
             "crowd" => Fault::Crowd { ingresses: on, count, lasts },
             "hostile" => Fault::Hostile { ingresses: on, count, manner, lasts },
             "leg-silent" => Fault::Leg { leg, fault: LegFault::Silent, ingresses: on, lasts },
+            "counter-silent" => Fault::Counter { fault: CounterFault::Silent, lasts },
+            "counter-busy" => Fault::Counter { fault: CounterFault::Busy, lasts },
+            "counter-slow" => Fault::Counter { fault: CounterFault::Slow(delay), lasts },
+            "counter-gone" => Fault::Counter { fault: CounterFault::Gone, lasts },
             "leg-reset" => Fault::Leg { leg, fault: LegFault::Reset, ingresses: on, lasts },
             _ => Fault::Leg { leg, fault: LegFault::Slow(delay), ingresses: on, lasts },
         };
@@ -419,6 +442,9 @@
             Fault::Hostile { ingresses: i, count, manner, .. } => {
                 write!(f, "{count} hostile clients ({manner:?}) at ingress {}", n(i))
             }
+            Fault::Counter { fault, lasts } => {
+                write!(f, "the count service fails ({fault:?}) for {} s", s(lasts))
+            }
             Fault::Leg { leg, fault, ingresses: i, lasts } => {
                 write!(f, "the way to {leg:?} of ingress {} fails ({fault:?}) for {} s", n(i), s(lasts))
             }
--- a/crates/fleet/tests/files.rs
+++ b/crates/fleet/tests/files.rs
@@ -31,6 +31,13 @@
     ("lasts = \"4s\"", "lasts = \"4 fortnights\"", "lasts", "a number with ms, s or m"),
     ("lasts = \"4s\"", "lasts = \"0s\"", "lasts", "100ms at the least"),
     ("about = \"A calm run: nothing fails\"", "", "about", "missing field `about`"),
+    ("count = 3\n", "count = 3\n[network]\nreports = \"maybe\"\n", "[ingresses]", "answers, probes or none"),
+    (
+        "count = 3\n",
+        "count = 3\n[network]\ncounter = [\"4ms\", \"1ms\"]\n",
+        "[ingresses]",
+        "the least and the most",
+    ),
     ("count = 3\n", "count = 0\n", "[ingresses]", "count is from 1 to 64"),
     ("count = 3\n", "count = 3\ncores = -1\n", "[ingresses]", "cores is above 0"),
     ("count = 3\n", "count = 3\nport = 65534\n", "[ingresses]", "port leaves no room"),
@@ -54,6 +61,8 @@
     ("at = \"1s\"\nwhat = \"explode\"", "what", "there is no fault \"explode\""),
     ("at = \"-1s\"\nwhat = \"kill\"\ningress = 0", "at", "not negative"),
     ("at = \"1s\"\nwhat = \"kill\"", "what", "\"kill\" needs ingress"),
+    ("at = \"1s\"\nwhat = \"counter-slow\"\nfor = \"1s\"", "what", "\"counter-slow\" needs delay"),
+    ("at = \"1s\"\nwhat = \"counter-gone\"\nfor = \"1s\"", "[[at]]", "there is no count service"),
     (
         "at = \"1s\"\nwhat = \"kill\"\ningress = 3",
         "ingress",
--- a/crates/fleet/tests/judge.rs
+++ b/crates/fleet/tests/judge.rs
@@ -83,7 +83,11 @@
 
 /// Plays a wrong ingress and checks that the judge names just this rule, and no request but those that were wronged.
 fn found_out(wrong: &str, rule: Rule, more: &str) {
-    let report = run(wrong, &format!("{WORLD}{more}"));
+    found_out_in(WORLD, wrong, rule, more);
+}
+
+fn found_out_in(world: &str, wrong: &str, rule: Rule, more: &str) {
+    let report = run(wrong, &format!("{world}{more}"));
     let log = &report.ingress_logs[0];
     let wronged: BTreeSet<u64> = log
         .lines()
@@ -148,6 +152,14 @@
     found_out("resend", Rule::Effects, RESETS);
 }
 
+/// Of one request two attempts out at once, on a site that allows one.
+#[test]
+fn a_second_attempt_while_the_first_is_out() {
+    let world = WORLD.replace("peers = false", "peers = false\nsecond_copies = false");
+    let hang = "[[at]]\nat = \"200ms\"\nwhat = \"hang\"\nbackend = 0\nfor = \"1s\"\n";
+    found_out_in(&world, "copies", Rule::Effects, hang);
+}
+
 #[test]
 fn an_unsafe_request_refused_though_it_may_have_run() {
     found_out("refuse", Rule::Effects, RESETS);
--- a/crates/fleet/tests/wrong_ingress/main.rs
+++ b/crates/fleet/tests/wrong_ingress/main.rs
@@ -74,6 +74,22 @@
         read_value(&mut BufReader::new(stream))
     }
 
+    /// Sends a second attempt while the first, which is not answered, is still out.
+    fn copy(&self, to: &str, id: &str, call: &[u8], wait: Duration) -> Option<Vec<String>> {
+        let mut first = TcpStream::connect(to).ok()?;
+        first.set_read_timeout(Some(Duration::from_millis(100))).ok()?;
+        first.write_all(call).ok()?;
+        let answer = read_value(&mut BufReader::new(first.try_clone().ok()?));
+        if answer.is_some() {
+            return answer;
+        }
+        eprintln!("wrong: {id}");
+        let answer = self.attempt(&self.backend(id), call, wait.mul_f64(0.2));
+        thread::sleep(Duration::from_millis(80));
+        drop(first);
+        answer
+    }
+
     fn serve(&self, args: &[String]) -> Vec<u8> {
         let (id, options) = (&args[2], &args[3]);
         let wait = Duration::from_millis(option(options, "d=").parse().unwrap_or(100));
@@ -101,7 +117,10 @@
             return b"-ERR failed\r\n".to_vec();
         }
         let to = self.backend(id);
-        let answer = self.attempt(&to, &call, wait.mul_f64(0.8));
+        let answer = match self.wrong.as_str() {
+            "copies" => self.copy(&to, id, &call, wait),
+            _ => self.attempt(&to, &call, wait.mul_f64(0.8)),
+        };
         match answer {
             Some(value) if value[0].starts_with("-BUSY") => b"-BUSY\r\n".to_vec(),
             Some(value) if !value[0].starts_with('-') => {
