--- /dev/null
+++ b/crates/control/tests/model.rs
@@ -0,0 +1,322 @@
+//! The protocol by exhaustive search: two or three ingresses, two appliers, messages that are lost or late on either way, crashes
+//! of all of them at any point. The very participant and applier of the package are what is searched. Variants that are
+//! broken on purpose must be found out, or the search shows nothing.
+
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeMap;
+use std::sync::OnceLock;
+use wrenfork_control::applier::{Applier, Phase};
+use wrenfork_control::participant::{Memory, Participant, Step};
+use wrenfork_control::plan::Plan;
+use wrenfork_control::protocol::{Ask, Say, Stand};
+use wrenfork_control::state::{Digest, Generation, State};
+
+/// Two where it must be quick; `WRENFORK_SEARCH=3 cargo test --release -p wrenfork-control --test model` takes minutes.
+fn ingresses() -> usize {
+    static COUNT: OnceLock<usize> = OnceLock::new();
+    *COUNT.get_or_init(|| std::env::var("WRENFORK_SEARCH").ok().and_then(|n| n.parse().ok()).unwrap_or(2))
+}
+
+/// What is left out of the protocol on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Variant {
+    Whole,
+    /// What is promised is kept in memory alone, and lost with a crash.
+    NoPromiseOnDisk,
+    /// A change is prepared whatever is enforced.
+    NoGenerationCheck,
+    /// Anybody may decide.
+    NoFence,
+}
+
+/// What the second applier does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Second {
+    AppliesAnother,
+    AppliesTheSame,
+    Recovers,
+}
+
+struct World {
+    variant: Variant,
+    second: Second,
+    crashes: u8,
+    /// The identities of the two plans.
+    plans: [Digest; 2],
+}
+
+/// What is under way between an applier and an ingress: at most one message in either direction. What an applier asks now
+/// may arrive at any time; one that has ended may leave an ask under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Way {
+    Idle,
+    Asked(Ask),
+    Answered(Say),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Now {
+    ingresses: Vec<Participant>,
+    appliers: Vec<Option<Applier>>,
+    ways: Vec<Vec<Way>>,
+    crashes: u8,
+    /// By change: ingresses that said yes.
+    said_yes: BTreeMap<String, u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Do {
+    /// An ask arrives, and is carried out whole.
+    Arrive(usize, usize),
+    /// An answer arrives.
+    Hear(usize, usize),
+    /// An ingress ends before its write, or after it and before its answer; it comes back with what it wrote. To its
+    /// applier that is the same as an ask, or an answer, that is lost.
+    Crash(usize, usize, bool),
+    /// An applier ends; what it asked may still arrive.
+    End(usize),
+}
+
+fn state(value: &str) -> State {
+    State([("quota".to_string(), value.to_string())].into())
+}
+
+fn plan(author: &str, value: &str) -> Plan {
+    let base = state("old");
+    let of = |n: usize| {
+        (format!("n{n}"), Generation { number: 1, digest: base.digest() }, base.clone(), state(value))
+    };
+    Plan::make((author, 0, 1), (0..ingresses()).map(of).collect()).unwrap()
+}
+
+impl World {
+    fn carry(&self, now: &mut Now, a: usize, i: usize, written: bool, answered: bool) {
+        let ask = match std::mem::replace(&mut now.ways[a][i], Way::Idle) {
+            Way::Asked(ask) => Some(ask),
+            _ => now.appliers[a].as_ref().and_then(|x| x.ask(i)),
+        };
+        let Some(ask) = ask else { return };
+        let ask = match ask {
+            Ask::Prepare { mut promise, ballot, wanted } if self.variant == Variant::NoGenerationCheck => {
+                promise.base = now.ingresses[i].memory().enforced.clone();
+                promise.next.number = promise.base.number + 1;
+                Ask::Prepare { promise, ballot, wanted }
+            }
+            Ask::Decide { change, commit, .. } if self.variant == Variant::NoFence => {
+                // With whatever number would be right.
+                let fences = &now.ingresses[i].memory().fences;
+                let ballot = fences.iter().find(|f| f.0 == change).map_or(0, |f| f.1);
+                Ask::Decide { change, ballot, commit }
+            }
+            ask => ask,
+        };
+        let change =
+            if let Ask::Prepare { promise, .. } = &ask { promise.change.0.clone() } else { String::new() };
+        let say = match now.ingresses[i].take(ask, |_| Ok(())) {
+            Step::Say(say) => Some(say),
+            Step::Write { memory, then, .. } if written => {
+                now.ingresses[i].written(*memory);
+                Some(then)
+            }
+            Step::Write { .. } => None,
+        };
+        if let Some(say) = say.filter(|_| answered) {
+            if say == Say::Yes {
+                *now.said_yes.entry(change).or_default() |= 1 << i;
+            }
+            now.ways[a][i] = Way::Answered(say);
+        } else {
+            self.lost(now, a, i);
+        }
+        if !(written && answered) && self.variant == Variant::NoPromiseOnDisk {
+            let m = now.ingresses[i].memory().clone();
+            now.ingresses[i].written(Memory { promise: None, fences: vec![], ended: vec![], ..m });
+        }
+    }
+
+    fn lost(&self, now: &mut Now, a: usize, i: usize) {
+        now.ways[a][i] = Way::Idle;
+        if let Some(applier) = &mut now.appliers[a] {
+            applier.heard(i, None);
+        }
+    }
+}
+
+fn stand(p: &Participant, change: &Digest) -> Stand {
+    match p.take(Ask::Fence { change: change.clone(), ballot: u64::MAX }, |_| Ok(())) {
+        Step::Say(Say::Stands { stand, .. }) | Step::Write { then: Say::Stands { stand, .. }, .. } => stand,
+        other => panic!("{other:?}"),
+    }
+}
+
+impl Model for World {
+    type State = Now;
+    type Action = Do;
+
+    fn init_states(&self) -> Vec<Now> {
+        let first = Applier::begin(&plan("ann", "new"), 1);
+        let second = match self.second {
+            Second::AppliesAnother => Applier::begin(&plan("bob", "other"), 2),
+            Second::AppliesTheSame => Applier::begin(&plan("ann", "new"), 2),
+            Second::Recovers => {
+                let names = (0..ingresses()).map(|n| format!("n{n}")).collect();
+                Applier::recover(plan("ann", "new").id(), names, 3)
+            }
+        };
+        let memory = || Memory::first(1, state("old"));
+        vec![Now {
+            ingresses: (0..ingresses()).map(|n| Participant::new(&format!("n{n}"), memory())).collect(),
+            appliers: vec![Some(first), Some(second)],
+            ways: vec![vec![Way::Idle; ingresses()]; 2],
+            crashes: self.crashes,
+            said_yes: BTreeMap::new(),
+        }]
+    }
+
+    fn actions(&self, now: &Now, actions: &mut Vec<Do>) {
+        for a in 0..now.appliers.len() {
+            for i in 0..ingresses() {
+                let asks = now.appliers[a].as_ref().is_some_and(|x| x.ask(i).is_some());
+                let asks = asks || matches!(now.ways[a][i], Way::Asked(_));
+                if matches!(now.ways[a][i], Way::Answered(_)) {
+                    actions.push(Do::Hear(a, i));
+                } else if asks {
+                    actions.push(Do::Arrive(a, i));
+                    if now.crashes > 0 {
+                        actions.push(Do::Crash(a, i, false));
+                        actions.push(Do::Crash(a, i, true));
+                    }
+                }
+            }
+            if now.crashes > 0 && now.appliers[a].is_some() {
+                actions.push(Do::End(a));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &Now, action: Do) -> Option<Now> {
+        let mut now = last.clone();
+        match action {
+            Do::Arrive(a, i) => self.carry(&mut now, a, i, true, true),
+            Do::Hear(a, i) => {
+                let Way::Answered(say) = std::mem::replace(&mut now.ways[a][i], Way::Idle) else {
+                    return None;
+                };
+                if let Some(applier) = &mut now.appliers[a] {
+                    applier.heard(i, Some(say));
+                }
+            }
+            Do::Crash(a, i, written) => {
+                now.crashes -= 1;
+                self.carry(&mut now, a, i, written, false);
+            }
+            Do::End(a) => {
+                now.crashes -= 1;
+                let ended = now.appliers[a].take()?;
+                for i in 0..ingresses() {
+                    now.ways[a][i] = match ended.ask(i) {
+                        Some(ask) if now.ways[a][i] == Way::Idle => Way::Asked(ask),
+                        _ => Way::Idle,
+                    };
+                }
+            }
+        }
+        Some(now)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(
+                "no change is made at one ingress and given up at another",
+                |world: &World, now: &Now| {
+                    world.plans.iter().all(|p| {
+                        let stands: Vec<Stand> = now.ingresses.iter().map(|i| stand(i, p)).collect();
+                        !(stands.contains(&Stand::Made) && stands.contains(&Stand::Dropped))
+                    })
+                },
+            ),
+            Property::always(
+                "what is enforced is one whole generation, alike under one number",
+                |_, now: &Now| {
+                    let mut by_number: BTreeMap<u64, &Digest> = BTreeMap::new();
+                    now.ingresses.iter().all(|i| {
+                        let m = i.memory();
+                        let whole = m.state.digest() == m.enforced.digest;
+                        whole
+                            && *by_number.entry(m.enforced.number).or_insert(&m.enforced.digest)
+                                == &m.enforced.digest
+                    })
+                },
+            ),
+            Property::always("a plan is made only on what it was made from", |world: &World, now: &Now| {
+                now.ingresses
+                    .iter()
+                    .all(|i| world.plans.iter().filter(|p| stand(i, p) == Stand::Made).count() < 2)
+            }),
+            Property::always("a promise is never lost", |world: &World, now: &Now| {
+                world.plans.iter().all(|p| {
+                    let yes = now.said_yes.get(&p.0).copied().unwrap_or(0);
+                    let known = |i: usize| stand(&now.ingresses[i], p) != Stand::Unknown;
+                    (0..ingresses()).all(|i| yes & (1 << i) == 0 || known(i))
+                })
+            }),
+            Property::always("an apply that says made is made everywhere", |_, now: &Now| {
+                now.appliers.iter().flatten().all(|a| match a.phase {
+                    Phase::Ended(made) => now.ingresses.iter().all(|i| {
+                        let stand = stand(i, &a.change);
+                        if made {
+                            stand == Stand::Made
+                        } else {
+                            stand != Stand::Made && stand != Stand::Promised
+                        }
+                    }),
+                    _ => true,
+                })
+            }),
+            Property::sometimes("a change is made", |_, now: &Now| {
+                now.ingresses.iter().all(|i| i.memory().enforced.number > 1)
+            }),
+            Property::sometimes("a change is given up", |_, now: &Now| {
+                now.appliers.iter().flatten().any(|a| a.phase == Phase::Ended(false))
+            }),
+        ]
+    }
+}
+
+/// Searches all; the number of states, and the properties that a state was found against.
+fn search(variant: Variant, second: Second, crashes: u8) -> (usize, Vec<&'static str>) {
+    let plans = [plan("ann", "new").id(), plan("bob", "other").id()];
+    let checker = World { variant, second, crashes, plans }.checker().threads(2).spawn_bfs().join();
+    let against = checker.discoveries().into_keys().filter(|name| !name.starts_with("a change is"));
+    let against = against.collect();
+    if variant == Variant::Whole {
+        let found = checker.discoveries();
+        assert!(found.contains_key("a change is made"), "{second:?}: nothing is ever made");
+    }
+    (checker.unique_state_count(), against)
+}
+
+#[test]
+fn every_interleaving_leaves_every_ingress_with_one_whole_generation() {
+    for (second, crashes) in [(Second::AppliesAnother, 1), (Second::AppliesTheSame, 1), (Second::Recovers, 1)]
+    {
+        let (states, against) = search(Variant::Whole, second, crashes);
+        println!("{second:?}, {crashes} crashes or losses: {states} states");
+        assert_eq!(against, [""; 0], "{second:?}");
+        assert!(states > 500, "{states}");
+    }
+}
+
+/// The search must be able to fail: each part of the protocol that is left out is found out.
+#[test]
+fn what_is_left_out_is_found_out() {
+    for (variant, second) in [
+        (Variant::NoPromiseOnDisk, Second::Recovers),
+        (Variant::NoGenerationCheck, Second::AppliesAnother),
+        (Variant::NoFence, Second::Recovers),
+    ] {
+        let (states, against) = search(variant, second, 1);
+        println!("{variant:?}: {states} states until {against:?}");
+        assert!(!against.is_empty(), "{variant:?} was not found out");
+    }
+}
--- /dev/null
+++ b/crates/store/tests/folder.rs
@@ -0,0 +1,63 @@
+//! The store on a real folder.
+
+use std::os::unix::fs::PermissionsExt;
+use wrenfork_store::{Batch, Kind, Store, StoreError, MOST_RECORD};
+
+#[test]
+fn records_are_there_again_and_the_folder_is_the_owners_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let at = folder.path().join("state/of/ingress");
+    let store = Store::open(&at).unwrap();
+    store.commit(&Batch::new().put(Kind::Audit, "1", b"a").put(Kind::Audit, "2", b"b")).unwrap();
+    store.commit(&Batch::new().delete(Kind::Audit, "1").put(Kind::Lease, "1", b"c")).unwrap();
+    drop(store);
+    let store = Store::open(&at).unwrap();
+    assert_eq!(store.list(Kind::Audit, 10).unwrap(), [("2".to_string(), b"b".to_vec())]);
+    assert_eq!(store.get(Kind::Lease, "1").unwrap(), Some(b"c".to_vec()));
+    assert_eq!(store.get(Kind::Use, "1").unwrap(), None);
+    for (path, mode) in [(at.clone(), 0o700), (at.join("wrenfork.redb"), 0o600), (at.join("lock"), 0o600)] {
+        assert_eq!(
+            std::fs::metadata(&path).unwrap().permissions().mode() & 0o777,
+            mode,
+            "{}",
+            path.display()
+        );
+    }
+}
+
+/// Guards against two processes that write one folder.
+#[test]
+fn a_folder_that_is_taken_is_refused_until_it_is_free() {
+    let folder = tempfile::tempdir().unwrap();
+    let store = Store::open(folder.path()).unwrap();
+    let e = Store::open(folder.path()).unwrap_err();
+    assert!(matches!(e, StoreError::Taken(_)), "{e}");
+    drop(store);
+    Store::open(folder.path()).unwrap();
+}
+
+#[test]
+fn what_is_no_store_and_what_is_too_long_is_told() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("wrenfork.redb"), vec![7; 9000]).unwrap();
+    assert!(Store::open(folder.path()).is_err());
+    let file = folder.path().join("file");
+    std::fs::write(&file, b"").unwrap();
+    assert!(matches!(Store::open(&file).unwrap_err(), StoreError::Disk(_)));
+    let good = folder.path().join("good");
+    let store = Store::open(&good).unwrap();
+    let long = vec![0; MOST_RECORD + 1];
+    let e = store.commit(&Batch::new().put(Kind::Use, "a", b"1").put(Kind::Use, "b", &long)).unwrap_err();
+    assert!(matches!(e, StoreError::TooLong(_)));
+    assert_eq!(store.get(Kind::Use, "a").unwrap(), None, "nothing of it was made");
+}
+
+/// Guards against a folder that is of no use any more because a crash came while its store was made.
+#[test]
+fn what_a_crash_left_of_a_store_that_was_being_made_is_no_hindrance() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("wrenfork.new"), vec![7; 9000]).unwrap();
+    let store = Store::open(folder.path()).unwrap();
+    store.commit(&Batch::new().put(Kind::Use, "a", b"1")).unwrap();
+    assert!(!folder.path().join("wrenfork.new").exists());
+}
