--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -296,8 +296,8 @@
                 quota = Some((req.units - room) / plan.rate);
             }
         }
-        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts, as
-        // far as it is still out.
+        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts,
+        // as far as it is still out.
         let lasts = (IN_TIME * self.usual[usize::from(req.class)].recent).min((self.period + UNHEARD) as f64);
         let begun = c.others * lasts / SECOND / req.units.max(0.1);
         let open = c.open + c.others_open + begun as u32;
