--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -680,20 +680,7 @@
             let (id, actions) = rig.ask(0, 0, step % 40, 1.0);
             for backend in sends(&actions) {
                 let took = if step < 40 { 100_000 } else { 900_000 };
-                let (complete, outcome) = (true, Outcome::Ok);
-                let (metered, charged, report) = (None, None, None);
-                let attempt = 0;
-                rig.feed(Event::Settled {
-                    id,
-                    attempt,
-                    backend,
-                    outcome,
-                    complete,
-                    took,
-                    metered,
-                    charged,
-                    report,
-                });
+                answer(&mut rig, id, backend, took);
             }
             rig.pass(20_000);
         }
