The worth of ready backends is counted ten times a second, not at each wake-up

Seen: the cost of a request at 1,000 backends rose from 1.61 to 2.02 times the relay's with the bound on what is out, since count_able sums over all ready backends at each wake-up, 50 to 100 times a second.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -33,6 +33,7 @@
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
 const COVER: usize = 8; // times that the gateways' shares of the backends overlap: next to none is left out
+const COUNTED: Micros = 100_000; // how long a count of what the backends are worth stands: warmth moves slowly
 const LOOK: usize = 10; // backends compared in a choice: more change it little, and cost as much as all else
 const SICK_ERRORS: f64 = 0.25; // share of errors in recent answers from which a backend gets a trickle only
 const REST: Micros = 500_000; // how long it rests before one attempt tries it again; doubles up to 2^3
@@ -361,8 +362,9 @@
         (self.places * self.able / self.shares as f64).max(1.0)
     }
 
-    /// Backends as many as the ready ones are worth.
+    /// Backends as many as the ready ones are worth; not at each wake-up, since it looks at all of them.
     fn count_able(&mut self) {
+        self.able_at = self.now;
         let able = |p: &usize| self.warmth(self.backends.at(*p)).0.min(1.0 / self.backends.at(*p).slow);
         self.able = self.order.iter().map(|p| able(p).min(1.0)).sum();
     }
@@ -656,7 +658,9 @@
                 self.waiting.push_back(id);
             }
         }
-        self.count_able();
+        if self.now >= self.able_at + COUNTED {
+            self.count_able();
+        }
         self.step_alert(act);
         self.dispatch(act);
         let ready = |p: &u16| self.peers.get(p).is_some_and(|p| p.next <= now);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -235,6 +235,7 @@
     pub(crate) ready_size: f64,
     /// As many as the ready ones are worth, the cold and the slow for less than one.
     pub(crate) able: f64,
+    pub(crate) able_at: Micros,
     /// Whether zones could be reached.
     pub(crate) zones: BTreeMap<u8, Health>,
     pub(crate) usual: Vec<Usual>,
