--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -550,7 +550,9 @@
         for sidecar in &app.sidecars {
             let listen = sidecar.listen.as_ref().map(|l| (l.value.to_string(), &l.span));
             let peers = sidecar.peers.as_ref().map(|p| (format!("{}/udp", p.value), &p.span));
-            for (address, span) in listen.into_iter().chain(peers) {
+            let paths = [&sidecar.control, &sidecar.state];
+            let paths = paths.into_iter().flatten().map(|p| (p.value.clone(), &p.span));
+            for (address, span) in listen.into_iter().chain(peers).chain(paths) {
                 let shown = address.trim_end_matches("/udp").to_string();
                 if let Some(first) = addresses.get(&address) {
                     let wrong =
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -87,6 +87,8 @@
         "An empty list would mean that nothing is allowed or nobody is meant; leave the key out if everything is meant.";
     TooMany, "C113", Refused, "more entries than there is room for",
         "Tables are bounded so that an ingress keeps within its memory: 250 classes, 1,000 plans, 64 pools, 250 halls, 64 sidecars, 200,000 accounts in a file.";
+    BadPath, "C114", Refused, "a path that can't be used",
+        "The control socket and the folder for what is kept are named by absolute paths of at most 100 bytes, which is what a socket's name holds. A relative path would lead elsewhere with each working directory.";
     NameTwice, "C201", Refused, "the same name twice",
         "What refers to the name could mean either. The place of the first one is shown as well.";
     NoSuchClass, "C202", Refused, "a class that the site does not have",
--- /dev/null
+++ b/crates/config/src/enforced.rs
@@ -0,0 +1,340 @@
+//! What of an ingress's settings may change while it serves, as keys and values, and what is fixed from its start on.
+//!
+//! The keys are those of the settings (`contracts.1.quota_rate`), and besides `discovery`, `sends` and `accounts.HEX` for a
+//! sidecar. A place in the lists `contracts` and `grades` belongs to a name: requests that are open, and peers' messages,
+//! name classes and plans by their places. [`align`] gives a wanted state the places that a running one has.
+
+use crate::model::{Application, Fleet, Site};
+use crate::render::{contracts, render};
+use crate::settings::Conf;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+
+/// Keys with their values.
+pub type Pairs = BTreeMap<String, String>;
+
+/// The keys of a class, a plan, the limits and the rules that may change.
+const CLASS: [&str; 10] = [
+    "name",
+    "effect",
+    "group",
+    "window_us",
+    "objective_us",
+    "aim_stretch",
+    "give_up_us",
+    "worth",
+    "late_worth",
+    "stream",
+];
+const PLAN: [&str; 10] = [
+    "name",
+    "quota_rate",
+    "burst",
+    "max_out",
+    "never_over_rate",
+    "ceiling_burst",
+    "ceiling_slack",
+    "worth_factor",
+    "over_worth",
+    "beyond_costs",
+];
+const LIMITS: [&str; 9] = [
+    "most_tries",
+    "second_copies",
+    "cancelling",
+    "may_probe",
+    "retry_after",
+    "max_retry_after_us",
+    "max_open",
+    "connect_timeout_us",
+    "keepalive_us",
+];
+const RULES: [&str; 7] = [
+    "answer_slack_us",
+    "drain_grace_us",
+    "cold_from",
+    "cold_us",
+    "overload_factor",
+    "fall_us",
+    "must_ask_in_us",
+];
+/// The lists whose places belong to names.
+const LISTS: [&str; 2] = ["contracts", "grades"];
+/// Classes have a byte for their place, and one that went keeps its own.
+const MOST_CLASSES: usize = 250;
+const MOST_PLANS: usize = 60_000;
+
+/// Whether a key may change while an ingress serves.
+pub fn changeable(key: &str) -> bool {
+    let parts: Vec<&str> = key.split('.').collect();
+    match parts[..] {
+        ["discovery" | "sends"] | ["grades" | "contracts", "count"] | ["family_info", "most_units"] => true,
+        ["accounts", id] => crate::values::account(id).is_ok(),
+        ["grades", n, field] => n.parse::<u16>().is_ok() && CLASS.contains(&field),
+        ["contracts", n, field] => n.parse::<u16>().is_ok() && PLAN.contains(&field),
+        ["limits", field] => LIMITS.contains(&field),
+        ["rules", field] => RULES.contains(&field),
+        _ => false,
+    }
+}
+
+/// Flattens nested settings to paths with values.
+pub fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
+    match value {
+        Value::Null => {}
+        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(&below(key), v, pairs)),
+        Value::Array(list) => {
+            if list.iter().all(Value::is_object) {
+                pairs.push((below("count"), list.len().to_string()));
+                list.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
+            }
+            if !list.iter().any(Value::is_object) {
+                let joined: Vec<String> = list.iter().map(plain).collect();
+                pairs.push((path.to_string(), joined.join(",")));
+            }
+        }
+        _ => pairs.push((path.to_string(), plain(value))),
+    }
+}
+
+/// What an ingress is told, split into what is fixed and what may change.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// Settings that are fixed from the start on.
+    pub fixed: Vec<(String, String)>,
+    /// What may change.
+    pub state: Pairs,
+}
+
+/// Splits what an ingress is told.
+///
+/// # Errors
+///
+/// Where it has no settings.
+pub fn split(told: &Value) -> Result<Told, String> {
+    let mut pairs = Vec::new();
+    flatten("", told.get("settings").ok_or("settings is missing")?, &mut pairs);
+    let (state, fixed) = pairs.into_iter().partition::<Vec<_>, _>(|(key, _)| changeable(key));
+    let mut state: Pairs = state.into_iter().collect();
+    if let Some(discovery) = told.get("discovery").and_then(Value::as_str) {
+        state.insert("discovery".into(), discovery.into());
+    }
+    Ok(Told { fixed, state })
+}
+
+/// What a sidecar is told, and the same split.
+///
+/// # Errors
+///
+/// Where the application has no sidecar of that name.
+pub fn sidecar(
+    app: &Application,
+    site: &Site,
+    fleet: Option<&Fleet>,
+    name: &str,
+) -> Result<(Value, Told), String> {
+    let told = render(app, site, fleet, name)?;
+    let mut split = split(&told)?;
+    let list = contracts(app, site);
+    let accounts = app.accounts.iter().filter_map(|a| {
+        let place = list.of.get(&a.id.value)?;
+        Some((a.id.value, list.list.get(*place)?.0.as_str()))
+    });
+    identify(&mut split.state, accounts, app.sends.iter().map(|c| c.value.as_str()));
+    Ok((told, split))
+}
+
+/// A sidecar's name among all of a site's.
+pub fn called(app: &Application, sidecar: &str) -> String {
+    format!("{}/{sidecar}", app.called())
+}
+
+/// A sidecar's accounts, with the names of their contracts, and the classes that it may send.
+fn identify<'a>(
+    state: &mut Pairs,
+    accounts: impl IntoIterator<Item = (u64, &'a str)>,
+    sends: impl IntoIterator<Item = &'a str>,
+) {
+    for (id, contract) in accounts {
+        state.insert(format!("accounts.{id:016x}"), contract.into());
+    }
+    let mut sends: Vec<&str> = sends.into_iter().collect();
+    sends.sort_unstable();
+    state.insert("sends".into(), sends.join(","));
+}
+
+/// Settings from what is fixed and what may change.
+///
+/// # Errors
+///
+/// Names a key that this program does not know, or whose value it can't use.
+pub fn join(fixed: &[(String, String)], state: &Pairs) -> Result<Conf, String> {
+    if let Some(key) = state.keys().find(|key| !changeable(key)) {
+        return Err(format!("the key {key} is unknown here, or fixed from the start on"));
+    }
+    Ok(Conf::new(fixed.iter().cloned().chain(state.iter().map(|(k, v)| (k.clone(), v.clone())))))
+}
+
+/// The names of a list by their places; empty for one that went.
+fn names(state: &Pairs, list: &str) -> Vec<String> {
+    let count = state.get(&format!("{list}.count")).and_then(|n| n.parse().ok()).unwrap_or(0);
+    (0..count).map(|n: usize| state.get(&format!("{list}.{n}.name")).cloned().unwrap_or_default()).collect()
+}
+
+/// A wanted state with the places that running ones have, those of all ingresses that tell each other what is used: a place
+/// means the same at all of them. A name keeps its place; a new one takes a place that is nobody's anywhere, else the next one.
+/// A place between others whose name went has no name and the figures of the first that has one, so that the same names at
+/// the same places are always the same state.
+///
+/// # Errors
+///
+/// Where no place is left.
+pub fn align(running: &[&Pairs], wanted: &Pairs) -> Result<Pairs, String> {
+    let of_list =
+        |key: &str| LISTS.iter().any(|l| key.strip_prefix(l).is_some_and(|rest| rest.starts_with('.')));
+    let mut out: Pairs =
+        wanted.iter().filter(|(key, _)| !of_list(key)).map(|(k, v)| (k.clone(), v.clone())).collect();
+    for list in LISTS {
+        let (has, wants) = (running.iter().map(|r| names(r, list)).collect::<Vec<_>>(), names(wanted, list));
+        let known = has.iter().map(Vec::len).max().unwrap_or(0);
+        // Who has a place, at any of them; two who have one place keep it neither.
+        let mut holders: Vec<Option<&str>> = vec![None; known];
+        let mut torn = vec![false; known];
+        for names in &has {
+            for (place, name) in names.iter().enumerate().filter(|(_, name)| !name.is_empty()) {
+                torn[place] |= holders[place].is_some_and(|h| h != name);
+                holders[place] = Some(name);
+            }
+        }
+        let mut place_of: HashMap<&str, usize> = HashMap::new();
+        let mut split: Vec<&str> = Vec::new();
+        for (place, holder) in holders.iter().enumerate() {
+            let Some(name) = holder.filter(|_| !torn[place]) else { continue };
+            if place_of.insert(name, place).is_some() {
+                split.push(name); // at one place here, at another there
+            }
+        }
+        place_of.retain(|name, _| !split.contains(name));
+        let mut free: Vec<usize> = (0..known).rev().filter(|place| holders[*place].is_none()).collect();
+        let (mut next, mut from): (usize, BTreeMap<usize, usize>) = (known, BTreeMap::new());
+        for (at, name) in wants.iter().enumerate().filter(|(_, name)| !name.is_empty()) {
+            let place = place_of.get(name.as_str()).copied().or_else(|| free.pop()).unwrap_or(next);
+            next = next.max(place + 1);
+            from.insert(place, at);
+        }
+        let count = from.last_key_value().map_or(0, |(place, _)| place + 1);
+        if count > if list == "grades" { MOST_CLASSES } else { MOST_PLANS } {
+            return Err(format!(
+                "{list} has no place left for a new name: a restart of all gives those that went free"
+            ));
+        }
+        let first = from.first_key_value().map_or(0, |(_, at)| *at);
+        for place in 0..count {
+            let named = from.get(&place);
+            let prefix = format!("{list}.{}.", named.unwrap_or(&first));
+            let fields = wanted.range(prefix.clone()..).take_while(|(key, _)| key.starts_with(&prefix));
+            for (key, value) in fields {
+                out.insert(format!("{list}.{place}.{}", &key[prefix.len()..]), value.clone());
+            }
+            if named.is_none() {
+                out.insert(format!("{list}.{place}.name"), String::new());
+            }
+        }
+        out.insert(format!("{list}.count"), count.to_string());
+    }
+    Ok(out)
+}
+
+/// A key as people say it: the name of a class or plan in place of its place.
+pub fn spoken(key: &str, old: &Pairs, new: &Pairs) -> String {
+    let mut parts = key.splitn(3, '.');
+    let (Some(list), Some(place), Some(field)) = (parts.next(), parts.next(), parts.next()) else {
+        return key.strip_prefix("accounts.").map_or(key.to_string(), |id| format!("account {id}"));
+    };
+    let word = match list {
+        "contracts" => "plan",
+        "grades" => "class",
+        _ => return key.to_string(),
+    };
+    let at = format!("{list}.{place}.name");
+    let name = [new, old].iter().find_map(|s| s.get(&at).filter(|n| !n.is_empty()).cloned());
+    format!("{word} {} {field}", name.unwrap_or_else(|| place.to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn state(plans: &[(&str, u32)]) -> Pairs {
+        let mut s = Pairs::new();
+        for (n, (name, rate)) in plans.iter().enumerate() {
+            s.insert(format!("contracts.{n}.name"), name.to_string());
+            s.insert(format!("contracts.{n}.quota_rate"), rate.to_string());
+        }
+        s.insert("contracts.count".into(), plans.len().to_string());
+        s.insert("grades.count".into(), "0".into());
+        s
+    }
+
+    /// Guards against open requests and peers' counts that pass to another plan because a file's order changed.
+    #[test]
+    fn a_name_keeps_its_place_whatever_else_comes_and_goes() {
+        let running = state(&[("a", 1), ("b", 2), ("c", 3)]);
+        let next = align(&[&running], &state(&[("d", 4), ("c", 30), ("a", 1)])).unwrap();
+        assert_eq!(names(&next, "contracts"), ["a", "", "c", "d"]);
+        assert_eq!(
+            next["contracts.1.quota_rate"], "1",
+            "a place without a name has the figures of the first"
+        );
+        assert_eq!(next["contracts.2.quota_rate"], "30");
+        let later = align(&[&next], &state(&[("a", 1), ("c", 30), ("d", 4), ("e", 5)])).unwrap();
+        assert_eq!(names(&later, "contracts"), ["a", "e", "c", "d"]);
+        let other_order = state(&[("e", 5), ("d", 4), ("c", 30), ("a", 1)]);
+        assert_eq!(align(&[&later], &other_order).unwrap(), later, "nothing differs");
+        assert_eq!(align(&[&next], &running).unwrap(), running, "there and back again is the same state");
+    }
+
+    /// Guards against ingresses that tell each other of a plan by a place that means another one there.
+    #[test]
+    fn ingresses_with_other_histories_come_to_the_same_places() {
+        let (one, two) =
+            (state(&[("a", 1), ("b", 2), ("c", 3)]), state(&[("a", 1), ("c", 3), ("b", 2), ("x", 9)]));
+        let wanted = state(&[("a", 1), ("b", 2), ("c", 3), ("d", 4)]);
+        let next = align(&[&one, &two], &wanted).unwrap();
+        assert_eq!(next, align(&[&two, &one], &wanted).unwrap());
+        let has = names(&next, "contracts");
+        assert_eq!((&*has[0], has[1].is_empty(), has[2].is_empty()), ("a", true, true), "{has:?}");
+        let mut named: Vec<&String> = has.iter().filter(|n| !n.is_empty()).collect();
+        named.sort();
+        assert_eq!(named, ["a", "b", "c", "d"]);
+    }
+
+    #[test]
+    fn ten_places_and_more_are_not_mixed_up() {
+        let names_of: Vec<String> = (0..12).map(|n| format!("p{n}")).collect();
+        let list: Vec<(&str, u32)> = names_of.iter().map(|n| n.as_str()).zip(0..).collect();
+        let running = state(&list);
+        assert_eq!(align(&[&running], &running).unwrap(), running);
+    }
+
+    #[test]
+    fn what_is_fixed_or_unknown_is_refused_by_its_key() {
+        for key in
+            ["n_instances", "grades.0.colour", "limits.peers", "accounts.xyz", "contracts.-1.name", "tick_us"]
+        {
+            let state: Pairs = [(key.to_string(), "1".to_string())].into();
+            assert!(join(&[], &state).err().is_some_and(|e| e.contains(key)), "{key}");
+        }
+        assert!(changeable("accounts.00000000000004d2") && changeable("rules.cold_us"));
+    }
+
+    #[test]
+    fn people_read_names_in_place_of_numbers() {
+        let s = state(&[("a", 1)]);
+        assert_eq!(spoken("contracts.0.quota_rate", &s, &s), "plan a quota_rate");
+        assert_eq!(spoken("accounts.00000000000004d2", &s, &s), "account 00000000000004d2");
+        assert_eq!(spoken("rules.cold_us", &s, &s), "rules.cold_us");
+    }
+}
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -29,6 +29,8 @@
     Address,
     /// `IP:PORT` on the loopback, or `unix:` and a path.
     Listener,
+    /// An absolute path, short enough for a socket.
+    Path,
     /// 16 hex digits.
     Account,
     /// Octal digits of a file's mode, such as `"0660"`.
@@ -393,6 +395,20 @@
             "Where it takes messages from the other sidecars.",
             "\"127.0.0.1:7946\"",
         ),
+        may(
+            "control",
+            Kind::Path,
+            "changes take a restart",
+            "The socket on which `wrenctl plan` and `apply` find it; its owner's alone.",
+            "\"/run/desk/desk-1.control\"",
+        ),
+        may(
+            "state",
+            Kind::Path,
+            "what was applied is forgotten with a restart",
+            "The folder where it keeps what it enforces and has promised.",
+            "\"/var/lib/desk/desk-1\"",
+        ),
     ],
 };
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod codes;
 pub mod diagnostic;
+pub mod enforced;
 pub mod form;
 pub mod format;
 pub mod model;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -255,6 +255,10 @@
     pub discovery: Option<At<SocketAddr>>,
     /// Where it takes messages.
     pub peers: Option<At<SocketAddr>>,
+    /// Its control socket.
+    pub control: Option<At<String>>,
+    /// The folder for what it must not forget.
+    pub state: Option<At<String>>,
 }
 
 /// An account.
@@ -365,6 +369,8 @@
         hall: f.text("hall"),
         discovery: f.address("discovery"),
         peers: f.address("peers"),
+        control: f.text("control"),
+        state: f.text("state"),
     })
 }
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -317,6 +317,7 @@
             Kind::Size => (Code::BadSize, values::size(text).map(Value::Whole)),
             Kind::Address => (Code::BadAddress, values::address(text).map(Value::Address)),
             Kind::Listener => (Code::BadAddress, values::listener(text).map(Value::Listener)),
+            Kind::Path => (Code::BadPath, values::path(text).map(|()| Value::Text(text.into()))),
             Kind::Account => (Code::BadAccount, values::account(text).map(Value::Whole)),
             Kind::Mode => (Code::OutOfRange, values::mode(text).map(|m| Value::Whole(u64::from(m)))),
             _ => return Some(Value::Text(text.into())),
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -27,8 +27,12 @@
         let quota = quota.or(p.quota.as_ref().map(|q| q.value)).unwrap_or(0.0);
         let burst = burst.or(p.burst.as_ref().map(|b| b.value)).unwrap_or(0.0);
         *known.entry((plan, quota.to_bits(), burst.to_bits())).or_insert_with(|| {
-            let own = list.iter().filter(|(name, _)| name.split('~').next() == Some(&p.name.value)).count();
-            let name = if own == 0 { p.name.value.clone() } else { format!("{}~{own}", p.name.value) };
+            // By its figures, not by its number: other accounts that come or go must not rename it.
+            let name = if list.len() >= site.plans.len() {
+                format!("{}~{quota}~{burst}", p.name.value)
+            } else {
+                p.name.value.clone()
+            };
             let ceiling_burst = match &p.never_over {
                 Some(_) => p.never_over_burst.unwrap_or(2.0 * burst),
                 None => 0.0,
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -136,20 +136,30 @@
     }
 }
 
+/// Checks the path of a socket, or of a folder.
+///
+/// # Errors
+///
+/// With what is wrong, in words.
+pub fn path(text: &str) -> Result<(), String> {
+    if !text.starts_with('/') || text.ends_with('/') {
+        return Err(format!("\"{text}\" is no absolute path of a socket or folder"));
+    }
+    if text.len() > MOST_PATH || text.contains('\0') {
+        return Err(format!("a path of a socket or folder has {MOST_PATH} bytes at most"));
+    }
+    Ok(())
+}
+
 /// Where a sidecar may listen.
 ///
 /// # Errors
 ///
 /// With what is wrong, in words.
 pub fn listener(text: &str) -> Result<Listener, String> {
-    if let Some(path) = text.strip_prefix("unix:") {
-        if !path.starts_with('/') || path.ends_with('/') {
-            return Err(format!("\"{path}\" is no absolute path of a socket"));
-        }
-        if path.len() > MOST_PATH || path.contains('\0') {
-            return Err(format!("a socket's path has {MOST_PATH} bytes at most"));
-        }
-        return Ok(Listener::Unix(path.into()));
+    if let Some(at) = text.strip_prefix("unix:") {
+        path(at)?;
+        return Ok(Listener::Unix(at.into()));
     }
     let address = address(text)?;
     if !address.ip().is_loopback() {
--- a/crates/control/src/applier.rs
+++ b/crates/control/src/applier.rs
@@ -9,6 +9,7 @@
 use crate::plan::Plan;
 use crate::protocol::{Ask, Ballot, Say, Stand};
 use crate::state::{Digest, Generation, State};
+use std::sync::Arc;
 
 /// A member of a change, as its applier sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -16,7 +17,7 @@
     /// The ingress's name.
     pub ingress: String,
     /// Its promise and what it is to enforce; none where the applier recovers and has no plan.
-    pub change: Option<(Promise, State)>,
+    pub change: Option<(Promise, Arc<State>)>,
     /// It has answered what this phase asks.
     pub answered: bool,
     /// How it said last that the change stands there.
@@ -58,7 +59,7 @@
         let change = plan.id();
         let names: Vec<String> = plan.targets.iter().map(|t| t.ingress.clone()).collect();
         let members = plan.targets.iter().map(|t| {
-            let next = Generation { number: plan.generation, digest: t.wanted.digest() };
+            let next = Generation { number: plan.generation, digest: t.wanted.clone() };
             let promise = Promise {
                 change: change.clone(),
                 base: t.base.clone(),
@@ -66,7 +67,7 @@
                 author: plan.author.clone(),
                 members: names.clone(),
             };
-            let change = Some((promise, t.wanted.clone()));
+            let change = plan.states.get(&t.wanted).map(|wanted| (promise, wanted.clone()));
             Member { ingress: t.ingress.clone(), change, answered: false, stand: None }
         });
         let members = members.collect();
@@ -86,7 +87,8 @@
         let (change, ballot) = (self.change.clone(), self.ballot);
         match self.phase {
             Phase::Preparing => {
-                m.change.clone().map(|(promise, wanted)| Ask::Prepare { promise, ballot, wanted })
+                let (promise, wanted) = m.change.clone()?;
+                Some(Ask::Prepare { promise, ballot, wanted: State::clone(&wanted) })
             }
             Phase::Fencing => Some(Ask::Fence { change, ballot }),
             Phase::Deciding(commit) => Some(Ask::Decide { change, ballot, commit }),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`plan`]: what would differ, bound to the states that it was made from, with a checksum.
 //! - [`participant`]: an ingress's side of the protocol, a state machine: promises, switches, refusals.
 //! - [`applier`]: the other side: two phases over all participants, and the recovery of an apply that died.
+//! - [`figures`]: what is used and how it goes, for those who decide on a change.
 //! - [`protocol`]: the messages between them, one JSON object a line.
 //!
 //! Whoever drives these carries their messages, writes what they want written, and tells them when that is done.
 //! `docs/design/0005-plan-and-apply.md` says why the protocol is as it is.
 
 pub mod applier;
+pub mod figures;
 pub mod participant;
 pub mod plan;
 pub mod protocol;
--- a/crates/control/src/participant.rs
+++ b/crates/control/src/participant.rs
@@ -1,6 +1,7 @@
 //! An ingress's side: what it enforces, what it has promised, and what it knows of changes that have ended. All of it is
 //! one [`Memory`], which is written as a whole before anything is said or done that rests on it.
 
+use crate::figures::Figures;
 use crate::protocol::{Ask, Ballot, Say, Stand};
 use crate::state::{Digest, Generation, State};
 use serde::{Deserialize, Serialize};
@@ -126,11 +127,14 @@
                 ingress: self.name.clone(),
                 generation: m.enforced.clone(),
                 state: m.state.clone(),
+                figures: Figures::default(),
                 promise: m.promise.as_ref().map(|p| p.0.clone()),
             }),
             Ask::Prepare { promise, ballot, wanted } => self.prepare(promise, ballot, wanted, check),
             Ask::Fence { change, ballot } => self.fence(&change, ballot),
             Ask::Decide { change, ballot, commit } => self.decide(&change, ballot, commit),
+            // What went before is not a matter of the protocol: whoever keeps it answers.
+            Ask::Recall { .. } | Ask::History { .. } | Ask::Note { .. } => no("nothing is kept here"),
         }
     }
 
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -1,6 +1,7 @@
 //! The messages between an applier and an ingress: one JSON object a line, with the version first. What is unknown in a
 //! message of the same version is skipped; a message of another version is refused with the versions that are known.
 
+use crate::figures::Figures;
 use crate::participant::Promise;
 use crate::state::{Digest, Generation, State};
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,39 @@
         /// Make the switch.
         commit: bool,
     },
+    /// What it enforced under a number before.
+    Recall {
+        /// The number.
+        generation: u64,
+    },
+    /// What was planned, promised, made, given up and refused there, the last of it.
+    History {
+        /// How many records at the most.
+        most: usize,
+    },
+    /// To keep a record of what somebody did: a plan, an apply, a rollback.
+    Note {
+        /// What.
+        record: Record,
+    },
+}
+
+/// A record of what happened.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// When, in seconds of Unix time; the ingress's clock.
+    #[serde(default)]
+    pub at: u64,
+    /// What: `planned`, `promised`, `made`, `given up`, `refused`, `started`.
+    pub what: String,
+    /// Who.
+    pub author: String,
+    /// The change, where there is one.
+    pub change: Digest,
+    /// The generation that it makes.
+    pub generation: u64,
+    /// In words.
+    pub why: String,
 }
 
 /// How a change stands at an ingress.
@@ -59,7 +93,8 @@
     Dropped,
 }
 
-/// An ingress's answer.
+/// An ingress's answer. One lives for as long as its connection is written to, so that the large one is not boxed.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "say", rename_all = "kebab-case")]
 pub enum Say {
@@ -73,6 +108,8 @@
         state: State,
         /// What it has promised.
         promise: Option<Promise>,
+        /// What is used there, and how it goes.
+        figures: Figures,
     },
     /// It promises.
     Yes,
@@ -88,6 +125,20 @@
         /// How.
         stand: Stand,
     },
+    /// What it enforced under a number.
+    Was {
+        /// Number and digest.
+        generation: Generation,
+        /// All of it.
+        state: State,
+    },
+    /// Records, the oldest first.
+    Records {
+        /// They.
+        records: Vec<Record>,
+    },
+    /// A record is kept.
+    Noted,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -142,6 +193,9 @@
             Ask::Prepare { promise: promise.clone(), ballot: 5, wanted: wanted.clone() },
             Ask::Fence { change: Digest("ab".into()), ballot: 7 },
             Ask::Decide { change: Digest("ab".into()), ballot: 0, commit: true },
+            Ask::Recall { generation: 3 },
+            Ask::History { most: 7 },
+            Ask::Note { record: Record::default() },
         ];
         for ask in asks {
             let text = line(&ask);
@@ -155,9 +209,13 @@
             Say::Status {
                 ingress: "n0".into(),
                 generation: promise.base.clone(),
-                state: wanted,
-                promise: Some(promise),
+                state: wanted.clone(),
+                promise: Some(promise.clone()),
+                figures: Figures::default(),
             },
+            Say::Was { generation: promise.base, state: wanted },
+            Say::Records { records: vec![Record { what: "made".into(), ..Record::default() }] },
+            Say::Noted,
         ];
         for say in says {
             assert_eq!(read::<Say>(&line(&say)), Ok(say));
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -66,19 +66,53 @@
     pub old: Option<String>,
     /// Its new value; none where it goes.
     pub new: Option<String>,
+    /// Accounts that it touches: those on the plan that it is of, or the one that it is.
+    pub accounts: u64,
+}
+
+/// The accounts of a state by the name of their plan.
+fn by_plan(state: &State) -> BTreeMap<&str, u64> {
+    let mut counts = BTreeMap::new();
+    let accounts =
+        state.0.range("accounts.".to_string()..).take_while(|(key, _)| key.starts_with("accounts."));
+    for (_, plan) in accounts {
+        *counts.entry(plan.as_str()).or_default() += 1;
+    }
+    counts
 }
 
 /// What differs between two states, by key.
 pub fn differences(old: &State, new: &State) -> Vec<Difference> {
     let gone = old.0.iter().filter(|(key, _)| !new.0.contains_key(*key));
-    let gone = gone.map(|(key, value)| Difference { key: key.clone(), old: Some(value.clone()), new: None });
+    let gone = gone.map(|(key, value)| Difference {
+        key: key.clone(),
+        old: Some(value.clone()),
+        new: None,
+        accounts: 0,
+    });
     let other = new.0.iter().filter(|(key, value)| old.0.get(*key) != Some(value));
     let other = other.map(|(key, value)| Difference {
         key: key.clone(),
         old: old.0.get(key).cloned(),
         new: Some(value.clone()),
+        accounts: 0,
     });
     let mut all: Vec<Difference> = gone.chain(other).collect();
+    let (before, after) = (by_plan(old), by_plan(new));
+    for d in &mut all {
+        let mut parts = d.key.splitn(3, '.');
+        d.accounts = match (parts.next(), parts.next()) {
+            (Some("accounts"), _) => 1,
+            (Some("contracts"), Some(place)) => {
+                let name =
+                    |s: &State| s.0.get(&format!("contracts.{place}.name")).cloned().unwrap_or_default();
+                let on =
+                    |counts: &BTreeMap<&str, u64>, name: String| counts.get(&*name).copied().unwrap_or(0);
+                on(&after, name(new)).max(on(&before, name(old)))
+            }
+            _ => 0,
+        };
+    }
     all.sort_by(|a, b| a.key.cmp(&b.key));
     all
 }
@@ -119,4 +153,18 @@
         assert_eq!(text, [r#"a Some("1") None"#, r#"c Some("3") Some("4")"#, r#"d None Some("5")"#]);
         assert_eq!(differences(&new, &new), []);
     }
+
+    #[test]
+    fn the_accounts_on_a_plan_that_changes_are_counted() {
+        let plan = |rate: &str| {
+            let pairs = [
+                ("contracts.0.name", "starter"),
+                ("contracts.0.quota_rate", rate),
+                ("accounts.1", "starter"),
+            ];
+            state(&[&pairs[..], &[("accounts.2", "starter"), ("accounts.3", "business")]].concat())
+        };
+        let found = differences(&plan("8"), &plan("4"));
+        assert_eq!((found.len(), found[0].accounts), (1, 2));
+    }
 }
--- /dev/null
+++ b/crates/ctl/src/change/apply.rs
@@ -0,0 +1,255 @@
+//! `wrenctl apply`.
+
+use super::drive::{self, drive, End};
+use super::folder::{self, Ingress};
+use super::{failed, micros, plan, show, span, UNFINISHED};
+use crate::style;
+use clap::Args;
+use std::collections::BTreeMap;
+use std::io::{BufRead, IsTerminal};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use wrenfork_config::enforced::Pairs;
+use wrenfork_control::applier::Applier;
+use wrenfork_control::figures::Figures;
+use wrenfork_control::plan::Plan;
+use wrenfork_control::state::Digest;
+
+#[derive(Args)]
+pub struct Options {
+    /// The plan; with --resume also the folder that it was made from
+    #[arg(value_name = "FILE")]
+    plan: PathBuf,
+    /// Does not ask whether it is meant
+    #[arg(long)]
+    yes: bool,
+    /// Ends a change that was begun: made where one ingress has made it, else given up
+    #[arg(long, conflicts_with_all = ["canary", "leave_out"])]
+    resume: bool,
+    /// An ingress that is missing and is to be left out; it must be planned for later
+    #[arg(long, value_name = "NAME")]
+    leave_out: Vec<String>,
+    /// Makes the change at so many ingresses first, and watches them before the others
+    #[arg(long, value_name = "N")]
+    canary: Option<usize>,
+    /// How long these are watched
+    #[arg(long, value_name = "TIME", default_value = "10s", value_parser = span)]
+    watch: Duration,
+    /// By how much the share of requests refused or failed may grow there
+    #[arg(long, value_name = "SHARE", default_value_t = 0.02)]
+    most_lost: f64,
+    /// How long ingresses that do not answer are asked again
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    patience: Duration,
+}
+
+/// Whether it is meant: asked on a terminal, said with `--yes` elsewhere.
+pub fn meant(yes: bool) -> Result<(), String> {
+    if yes {
+        return Ok(());
+    }
+    if !std::io::stdin().is_terminal() {
+        return Err("nobody can be asked here: --yes makes the change unasked".into());
+    }
+    eprint!("Make this change? Only \"yes\" makes it: ");
+    let mut line = String::new();
+    std::io::stdin().lock().read_line(&mut line).map_err(|e| e.to_string())?;
+    (line.trim() == "yes").then_some(()).ok_or("not made".into())
+}
+
+fn sockets(plan: &Plan) -> BTreeMap<String, PathBuf> {
+    plan.targets.iter().map(|t| (t.ingress.clone(), PathBuf::from(&t.control))).collect()
+}
+
+/// Whether every ingress still enforces what the plan was made from.
+fn unmoved(plan: &Plan) -> Result<(), ExitCode> {
+    let controls: Vec<PathBuf> = sockets(plan).into_values().collect();
+    let by_path: BTreeMap<&Path, Result<folder::Status, String>> = controls
+        .iter()
+        .map(PathBuf::as_path)
+        .zip(folder::status(controls.iter().map(PathBuf::as_path)))
+        .collect();
+    let mut wrong = false;
+    for target in &plan.targets {
+        let status = by_path.get(Path::new(&target.control));
+        let why = match status {
+            Some(Ok(s)) if s.generation == target.base => continue,
+            Some(Ok(s)) if s.generation.number == plan.generation && s.generation.digest == target.wanted => {
+                "this plan was applied here already".to_string()
+            }
+            Some(Ok(s)) => format!(
+                "it has moved: it enforces generation {} ({}), and the plan was made for {} ({}): make it anew",
+                s.generation.number,
+                s.generation.digest.short(),
+                target.base.number,
+                target.base.digest.short()
+            ),
+            Some(Err(why)) => format!("{why}; --leave-out {} applies it to the others", target.ingress),
+            None => "nothing says where its socket is".to_string(),
+        };
+        failed(format!("{}: {why}", target.ingress));
+        wrong = true;
+    }
+    if wrong {
+        Err(ExitCode::FAILURE)
+    } else {
+        Ok(())
+    }
+}
+
+/// Makes a change, and tells how it ended.
+pub fn make(plan: &Plan, patience: Duration) -> ExitCode {
+    let mut applier = Applier::begin(plan, micros());
+    let end = drive(&mut applier, &sockets(plan), patience);
+    drive::tell(&end, &applier);
+    code(&end)
+}
+
+fn code(end: &End) -> ExitCode {
+    match end {
+        End::Made(_) => ExitCode::SUCCESS,
+        End::GivenUp => ExitCode::FAILURE,
+        End::Overtaken | End::Unfinished(_) => ExitCode::from(UNFINISHED),
+    }
+}
+
+pub fn main(options: &Options) -> ExitCode {
+    run(options).unwrap_or_else(|code| code)
+}
+
+fn run(options: &Options) -> Result<ExitCode, ExitCode> {
+    if options.resume {
+        return resume(&options.plan, options.patience);
+    }
+    let path = options.plan.display();
+    let text = std::fs::read_to_string(&options.plan).map_err(|e| failed(format!("{path}: {e}")))?;
+    let plan = Plan::read(&text).map_err(|e| failed(format!("{path}: {e}")))?;
+    plan.still_good(micros()).map_err(|e| failed(format!("{path}: {e}")))?;
+    for name in &options.leave_out {
+        if plan.targets.iter().all(|t| t.ingress != *name) {
+            return Err(failed(format!("the plan has no ingress {name} to leave out")));
+        }
+    }
+    let plan = if options.leave_out.is_empty() {
+        plan
+    } else {
+        plan.only(|t| !options.leave_out.contains(&t.ingress))
+    };
+    unmoved(&plan)?;
+    show::text(&plan);
+    meant(options.yes).map_err(failed)?;
+    match options.canary {
+        Some(first) if first < plan.targets.len() && first > 0 => canary(&plan, first, options),
+        _ => Ok(make(&plan, options.patience)),
+    }
+}
+
+/// The sum of the figures of some ingresses.
+fn figures(plan: &Plan) -> Result<Figures, ExitCode> {
+    let mut sum = Figures::default();
+    for (target, status) in
+        plan.targets.iter().zip(folder::status(plan.targets.iter().map(|t| Path::new(&t.control))))
+    {
+        let status = status.map_err(|why| failed(format!("{}: {why}", target.ingress)))?;
+        sum.add(&status.figures);
+    }
+    Ok(sum)
+}
+
+fn watched(plan: &Plan, span: Duration) -> Result<Figures, ExitCode> {
+    let before = figures(plan)?;
+    std::thread::sleep(span);
+    Ok(figures(plan)?.since(&before))
+}
+
+/// Makes a change at the first ingresses, watches them, and makes it at the others if these do no worse; else takes it back.
+fn canary(plan: &Plan, first: usize, options: &Options) -> Result<ExitCode, ExitCode> {
+    let names: Vec<&str> = plan.targets.iter().take(first).map(|t| t.ingress.as_str()).collect();
+    let part = plan.only(|t| names.contains(&t.ingress.as_str()));
+    let rest = plan.only(|t| !names.contains(&t.ingress.as_str()));
+    eprintln!("watching {} for {:?} before the change", names.join(", "), options.watch);
+    let before = watched(&part, options.watch)?;
+    let made = make(&part, options.patience);
+    if made != ExitCode::SUCCESS {
+        return Ok(made);
+    }
+    eprintln!("watching {} for {:?} after the change", names.join(", "), options.watch);
+    let after = watched(&part, options.watch)?;
+    let (was, is) = (before.lost(), after.lost());
+    let mut table = style::table(&["", "served", "refused", "failed", "lost"]);
+    for (when, f) in [("before", &before), ("after", &after)] {
+        let lost = format!("{:.1}%", f.lost() * 100.0);
+        table.add_row(vec![
+            when.to_string(),
+            f.served.to_string(),
+            f.refused.to_string(),
+            f.failed.to_string(),
+            lost,
+        ]);
+    }
+    println!("{table}");
+    if is > was + options.most_lost {
+        let why = format!("{:.1}% lost in place of {:.1}%", is * 100.0, was * 100.0);
+        anstream::eprintln!("{} {why}: taking it back", style::bad("canary:"));
+        let back = back(&part)?;
+        let taken = make(&back, options.patience);
+        return Ok(if taken == ExitCode::SUCCESS { ExitCode::FAILURE } else { taken });
+    }
+    Ok(make(&rest, options.patience))
+}
+
+/// The plan that undoes one that was just made.
+fn back(plan: &Plan) -> Result<Plan, ExitCode> {
+    let has = folder::status(plan.targets.iter().map(|t| Path::new(&t.control)));
+    let has = has.into_iter().collect::<Result<Vec<_>, _>>().map_err(failed)?;
+    let numbers = plan.targets.iter().map(|t| t.base.number);
+    let ingresses = plan.targets.iter().map(|t| Ingress {
+        name: t.ingress.clone(),
+        control: PathBuf::from(&t.control),
+        wanted: Pairs::new(),
+    });
+    let was = folder::recall(ingresses.collect(), numbers)?;
+    let made = plan::make((&plan.author, micros(), plan.good_for), was, has)?;
+    made.ok_or_else(|| failed("there is nothing to take back"))
+}
+
+/// Ends what was begun. The ingresses are those of a plan, or of a folder's files.
+fn resume(from: &Path, patience: Duration) -> Result<ExitCode, ExitCode> {
+    let mut changes: BTreeMap<Digest, Vec<String>> = BTreeMap::new();
+    let at: BTreeMap<String, PathBuf> = if from.is_dir() {
+        folder::ingresses(from)?.into_iter().map(|i| (i.name, i.control)).collect()
+    } else {
+        let text = std::fs::read_to_string(from).map_err(|e| failed(format!("{}: {e}", from.display())))?;
+        let plan = Plan::read(&text).map_err(|e| failed(format!("{}: {e}", from.display())))?;
+        sockets(&plan)
+    };
+    for ((name, _), status) in at.iter().zip(folder::status(at.values().map(PathBuf::as_path))) {
+        match status {
+            Ok(status) => {
+                if let Some(p) = status.promise {
+                    changes.entry(p.change).or_insert(p.members);
+                }
+            }
+            Err(why) => anstream::eprintln!("{} {name}: {why}", style::doubtful("not asked:")),
+        }
+    }
+    if changes.is_empty() {
+        anstream::println!(
+            "{} no ingress that answers has promised a change",
+            style::good("nothing to resume:")
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
+    let mut worst = ExitCode::SUCCESS;
+    for (change, members) in changes {
+        let mut applier = Applier::recover(change, members, micros());
+        let end = drive(&mut applier, &at, patience);
+        drive::tell(&end, &applier);
+        // Given up is an end as good as another here.
+        if matches!(end, End::Overtaken | End::Unfinished(_)) {
+            worst = code(&end);
+        }
+    }
+    Ok(worst)
+}
--- /dev/null
+++ b/crates/ctl/src/change/drive.rs
@@ -0,0 +1,184 @@
+//! Carries an applier's asks to the ingresses and their answers back, until the change has ended or time is over.
+
+use crate::style;
+use std::collections::BTreeMap;
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use wrenfork_control::applier::{Applier, Phase};
+use wrenfork_control::protocol::{Ask, Say};
+use wrenfork_keeper::client;
+use wrenfork_keeper::fault::Faults;
+
+/// Asks that are under way at once.
+const MOST_AT_ONCE: usize = 32;
+/// How long one ask may take; the disk may be slow.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Between two tries at those that did not answer.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Asks many at once; their answers, in the same order.
+pub fn ask_all(asks: Vec<(PathBuf, Ask)>, patience: Duration) -> Vec<Result<Say, String>> {
+    let mut answers = Vec::with_capacity(asks.len());
+    for some in asks.chunks(MOST_AT_ONCE) {
+        std::thread::scope(|scope| {
+            let asked: Vec<_> =
+                some.iter().map(|(at, ask)| scope.spawn(move || client::ask(at, ask, patience))).collect();
+            for one in asked {
+                answers.push(one.join().unwrap_or_else(|_| Err("the ask ended".into())));
+            }
+        });
+    }
+    answers
+}
+
+/// How a change ended.
+pub enum End {
+    /// Every member has made the switch. For how long, at the most, some had made it and some had not.
+    Made(Duration),
+    /// Every member has forgotten it.
+    GivenUp,
+    /// Somebody else decides it.
+    Overtaken,
+    /// These have not been told what was decided.
+    Unfinished(Vec<String>),
+}
+
+/// Tells of progress, on standard error: results are on standard output.
+struct Progress {
+    bar: Option<indicatif::ProgressBar>,
+    phase: &'static str,
+}
+
+impl Progress {
+    fn new() -> Progress {
+        let bar = std::io::stderr().is_terminal().then(|| indicatif::ProgressBar::new(0));
+        Progress { bar, phase: "" }
+    }
+
+    fn tell(&mut self, applier: &Applier) {
+        let phase = match applier.phase {
+            Phase::Preparing => "promises",
+            Phase::Fencing => "asking how it stands",
+            Phase::Deciding(true) => "switches",
+            Phase::Deciding(false) => "giving up",
+            Phase::Ended(_) | Phase::Overtaken => return,
+        };
+        let answered = applier.members.iter().filter(|m| m.answered).count();
+        if let Some(bar) = &self.bar {
+            bar.set_length(applier.members.len() as u64);
+            bar.set_message(phase);
+            bar.set_position(answered as u64);
+        } else if self.phase != phase {
+            eprintln!("{phase}: {} ingresses", applier.members.len());
+        }
+        self.phase = phase;
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        if let Some(bar) = &self.bar {
+            bar.finish_and_clear();
+        }
+    }
+}
+
+/// Drives a change to its end; `at` has the control sockets of the members by name.
+pub fn drive(applier: &mut Applier, at: &BTreeMap<String, PathBuf>, patience: Duration) -> End {
+    let (faults, start) = (Faults::told(), Instant::now());
+    let mut progress = Progress::new();
+    let mut first_switch = None;
+    let mut why: BTreeMap<String, String> = BTreeMap::new();
+    faults.pass("apply", "begun");
+    loop {
+        progress.tell(applier);
+        let phase = applier.phase.clone();
+        match phase {
+            Phase::Ended(true) => {
+                return End::Made(first_switch.map_or(Duration::ZERO, |t: Instant| t.elapsed()))
+            }
+            Phase::Ended(false) => return End::GivenUp,
+            Phase::Overtaken => return End::Overtaken,
+            Phase::Deciding(true) => first_switch = first_switch.or(Some(Instant::now())),
+            _ => {}
+        }
+        let mut asked = Vec::new();
+        let mut asks = Vec::new();
+        for member in 0..applier.members.len() {
+            let Some(ask) = applier.ask(member) else { continue };
+            let Some(path) = at.get(&applier.members[member].ingress) else {
+                why.insert(
+                    applier.members[member].ingress.clone(),
+                    "nothing says where its socket is".into(),
+                );
+                continue;
+            };
+            asked.push(member);
+            asks.push((path.clone(), ask));
+        }
+        // One after the other where a test ends this process in between.
+        let answers = asks.chunks(if faults.any() { 1 } else { usize::MAX }).flat_map(|some| {
+            faults.pass("apply", "asking");
+            let answers = ask_all(some.to_vec(), PATIENCE);
+            faults.pass("apply", "answered");
+            answers
+        });
+        let answers: Vec<_> = answers.collect();
+        let mut silent = asked.is_empty();
+        for (member, answer) in asked.into_iter().zip(answers) {
+            if let Err(what) = &answer {
+                silent = true;
+                why.insert(applier.members[member].ingress.clone(), what.clone());
+            }
+            if applier.phase == phase {
+                applier.heard(member, answer.ok());
+            }
+        }
+        if applier.phase != phase {
+            faults.pass("apply", "decided");
+            continue;
+        }
+        let left: Vec<&str> =
+            applier.members.iter().filter(|m| !m.answered).map(|m| m.ingress.as_str()).collect();
+        if !left.is_empty() && start.elapsed() > patience {
+            let told = |name: &str| why.get(name).map_or(name.to_string(), |why| format!("{name} ({why})"));
+            return End::Unfinished(left.into_iter().map(told).collect());
+        }
+        if silent {
+            std::thread::sleep(AGAIN);
+        }
+    }
+}
+
+/// Tells people how a change ended.
+pub fn tell(end: &End, applier: &Applier) {
+    for (name, why) in &applier.refused {
+        anstream::eprintln!("  {name}: {why}");
+    }
+    match end {
+        End::Made(mixed) => anstream::println!(
+            "{} change {} at {} ingresses; two generations side by side for at most {} ms",
+            style::good("made:"),
+            applier.change.short(),
+            applier.members.len(),
+            mixed.as_millis()
+        ),
+        End::GivenUp => anstream::eprintln!(
+            "{} change {}: nothing has changed at any ingress",
+            style::bad("given up:"),
+            applier.change.short()
+        ),
+        End::Overtaken => anstream::eprintln!(
+            "{} change {}: somebody else decides it; wrenctl history tells how it ended",
+            style::doubtful("overtaken:"),
+            applier.change.short()
+        ),
+        End::Unfinished(left) => anstream::eprintln!(
+            "{} change {}: not told yet: {}; when they are back, run wrenctl apply --resume",
+            style::doubtful("unfinished:"),
+            applier.change.short(),
+            left.join(", ")
+        ),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/change/folder.rs
@@ -0,0 +1,115 @@
+//! A folder of files: the ingresses that it describes, and what each is to enforce.
+
+use super::drive;
+use crate::config::print;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use wrenfork_config::enforced::{self, Pairs};
+use wrenfork_config::set::Set;
+use wrenfork_control::figures::Figures;
+use wrenfork_control::participant::Promise;
+use wrenfork_control::protocol::{Ask, Say};
+use wrenfork_control::state::{Generation, State};
+
+/// How long an ingress may take to say what it enforces.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// An ingress, and what it is to enforce.
+pub struct Ingress {
+    pub name: String,
+    pub control: PathBuf,
+    pub wanted: Pairs,
+}
+
+/// What an ingress says of itself.
+pub struct Status {
+    pub generation: Generation,
+    pub state: State,
+    pub promise: Option<Promise>,
+    pub figures: Figures,
+}
+
+/// The files of a folder that are read: those in it, not those below it.
+fn files(folder: &Path) -> Result<Vec<PathBuf>, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let all = std::fs::read_dir(folder).map_err(told)?;
+    let mut files = Vec::new();
+    for entry in all {
+        let path = entry.map_err(told)?.path();
+        if path.extension().is_some_and(|e| e == "toml" || e == "json") {
+            files.push(path);
+        }
+    }
+    files.sort();
+    if files.is_empty() {
+        return Err(format!("{}: there are no files of a site here (*.toml)", folder.display()));
+    }
+    Ok(files)
+}
+
+/// The ingresses that a folder's files describe, by name; those without a control socket are not among them.
+///
+/// # Errors
+///
+/// With the exit code, where the files are refused or describe none; why has been told.
+pub fn ingresses(folder: &Path) -> Result<Vec<Ingress>, ExitCode> {
+    let set = Set::read(files(folder).map_err(super::failed)?);
+    if set.refused() {
+        print::text(&set);
+        return Err(ExitCode::FAILURE);
+    }
+    let Some(site) = set.site() else {
+        return Err(super::failed(format!("{}: there is no site's file", folder.display())));
+    };
+    let fleet = set.fleet().map(|f| f.content);
+    let mut found = Vec::new();
+    for app in set.applications() {
+        for sidecar in &app.content.sidecars {
+            let Some(control) = &sidecar.control else { continue };
+            let name = &sidecar.name.value;
+            let (_, told) =
+                enforced::sidecar(app.content, site.content, fleet, name).map_err(super::failed)?;
+            found.push(Ingress {
+                name: enforced::called(app.content, name),
+                control: PathBuf::from(&control.value),
+                wanted: told.state,
+            });
+        }
+    }
+    if found.is_empty() {
+        return Err(super::failed(format!(
+            "{}: no sidecar has a control socket: give each one `control = \"/path\"`",
+            folder.display()
+        )));
+    }
+    found.sort_by(|a, b| a.name.cmp(&b.name));
+    Ok(found)
+}
+
+/// Ingresses that are to enforce again what each enforced under a number.
+pub fn recall(ingresses: Vec<Ingress>, numbers: impl Iterator<Item = u64>) -> Result<Vec<Ingress>, ExitCode> {
+    let asks =
+        ingresses.iter().zip(numbers).map(|(i, generation)| (i.control.clone(), Ask::Recall { generation }));
+    let answers = drive::ask_all(asks.collect(), PATIENCE);
+    let was = ingresses.into_iter().zip(answers).map(|(ingress, answer)| match answer {
+        Ok(Say::Was { state, .. }) => Ok(Ingress { wanted: state.0, ..ingress }),
+        Ok(Say::No { why }) | Err(why) => Err(super::failed(format!("{}: {why}", ingress.name))),
+        Ok(_) => Err(super::failed(format!("{}: it answers something else", ingress.name))),
+    });
+    was.collect()
+}
+
+/// Asks ingresses, all at once, what they enforce.
+pub fn status<'a>(at: impl IntoIterator<Item = &'a Path>) -> Vec<Result<Status, String>> {
+    let asks = at.into_iter().map(|path| (path.to_path_buf(), Ask::Status)).collect();
+    let answers = drive::ask_all(asks, PATIENCE).into_iter();
+    let read = answers.map(|answer| match answer? {
+        Say::Status { generation, state, promise, figures, .. } => {
+            Ok(Status { generation, state, promise, figures })
+        }
+        Say::No { why } => Err(why),
+        _ => Err("it answers something else".into()),
+    });
+    read.collect()
+}
--- /dev/null
+++ b/crates/ctl/src/change/history.rs
@@ -0,0 +1,76 @@
+//! `wrenctl history`.
+
+use super::{drive, failed, folder};
+use crate::config::Format;
+use crate::style;
+use clap::Args;
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, UNIX_EPOCH};
+use wrenfork_control::protocol::{Ask, Record, Say};
+
+#[derive(Args)]
+pub struct Options {
+    /// The folder with the files that describe the ingresses
+    #[arg(value_name = "DIR")]
+    folder: PathBuf,
+    /// Records of each ingress, the last ones
+    #[arg(long, value_name = "N", default_value_t = 20)]
+    most: usize,
+    /// For people or for scripts
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+}
+
+pub fn main(options: &Options) -> ExitCode {
+    run(options).unwrap_or_else(|code| code)
+}
+
+fn run(options: &Options) -> Result<ExitCode, ExitCode> {
+    let ingresses = folder::ingresses(&options.folder)?;
+    let asks = ingresses.iter().map(|i| (i.control.clone(), Ask::History { most: options.most }));
+    let answers = drive::ask_all(asks.collect(), Duration::from_secs(5));
+    let (mut rows, mut code): (Vec<(String, Record)>, _) = (Vec::new(), ExitCode::SUCCESS);
+    for (ingress, answer) in ingresses.iter().zip(answers) {
+        match answer {
+            Ok(Say::Records { records }) => {
+                rows.extend(records.into_iter().map(|r| (ingress.name.clone(), r)))
+            }
+            Ok(Say::No { why }) | Err(why) => code = failed(format!("{}: {why}", ingress.name)),
+            Ok(_) => code = failed(format!("{}: it answers something else", ingress.name)),
+        }
+    }
+    rows.sort_by_key(|(_, r)| r.at);
+    match options.format {
+        Format::Json => {
+            let rows: Vec<_> = rows.iter().map(|(name, r)| json!({"ingress": name, "record": r})).collect();
+            println!("{}", serde_json::to_string_pretty(&rows).unwrap_or_default());
+        }
+        Format::Text => {
+            let mut table = style::table(&["when", "ingress", "what", "generation", "change", "who", "why"]);
+            for (name, r) in &rows {
+                let when =
+                    humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_secs(r.at)).to_string();
+                let what = match r.what.as_str() {
+                    "made" => style::good(&r.what),
+                    "refused" | "given up" => style::bad(&r.what),
+                    other => other.to_string(),
+                };
+                let generation = if r.generation == 0 { String::new() } else { r.generation.to_string() };
+                let cells = [
+                    when,
+                    name.clone(),
+                    what,
+                    generation,
+                    r.change.short().into(),
+                    r.author.clone(),
+                    r.why.clone(),
+                ];
+                table.add_row(cells.to_vec());
+            }
+            anstream::println!("{table}");
+        }
+    }
+    Ok(code)
+}
--- /dev/null
+++ b/crates/ctl/src/change/rollback.rs
@@ -0,0 +1,53 @@
+//! `wrenctl rollback`.
+
+use super::{apply, author, failed, folder, micros, plan, show, span};
+use clap::Args;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[derive(Args)]
+pub struct Options {
+    /// The number of the generation to go back to; wrenctl history tells them
+    #[arg(value_name = "GENERATION")]
+    generation: u64,
+    /// The folder with the files that describe the ingresses
+    #[arg(value_name = "DIR")]
+    folder: PathBuf,
+    /// Writes the plan instead of making the change
+    #[arg(long, value_name = "FILE")]
+    out: Option<PathBuf>,
+    /// Does not ask whether it is meant
+    #[arg(long)]
+    yes: bool,
+    /// Who does this
+    #[arg(long, value_name = "NAME")]
+    author: Option<String>,
+    /// How long ingresses that do not answer are asked again
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    patience: Duration,
+}
+
+pub fn main(options: &Options) -> ExitCode {
+    run(options).unwrap_or_else(|code| code)
+}
+
+fn run(options: &Options) -> Result<ExitCode, ExitCode> {
+    let ingresses = folder::ingresses(&options.folder)?;
+    let has = plan::look(&ingresses)?;
+    let wanted = folder::recall(ingresses, std::iter::repeat(options.generation))?;
+    let author = author(options.author.as_deref());
+    let Some(made) = plan::make((&author, micros(), 3_600), wanted, has)? else {
+        println!("nothing to do: generation {} is what is enforced", options.generation);
+        return Ok(ExitCode::SUCCESS);
+    };
+    show::text(&made);
+    if let Some(out) = &options.out {
+        plan::write(&made, out).map_err(failed)?;
+        println!("written to {}", out.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    apply::meant(options.yes).map_err(failed)?;
+    plan::note(&made, "rollback", &author, &format!("back to generation {}", options.generation));
+    Ok(apply::make(&made, options.patience))
+}
--- a/crates/ctl/src/config/mod.rs
+++ b/crates/ctl/src/config/mod.rs
@@ -4,7 +4,7 @@
 mod discovery;
 mod fmt;
 mod new;
-mod print;
+pub mod print;
 
 use crate::style;
 use anstream::{eprintln, println};
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,7 @@
-//! `wrenctl`, the operators' tool. Exit codes: 0 for good, 1 for a finding, 2 for what could not be done or read.
+//! `wrenctl`, the operators' tool. Exit codes: 0 for good, 1 for a finding, 2 for what could not be done or read;
+//! `plan`, `apply` and `rollback` have their own, see [`change`].
 
+mod change;
 mod config;
 mod fleet;
 mod style;
@@ -22,11 +24,23 @@
     /// The files of sites, applications and fleets: written, checked, explained and rendered
     #[command(subcommand)]
     Config(config::Verb),
+    /// Shows what the files of a folder would change at its ingresses, and writes that as a plan
+    Plan(change::plan::Options),
+    /// Makes a planned change at every ingress or at none, or ends one that was cut off
+    Apply(change::apply::Options),
+    /// Goes back to what was enforced under a number before, as a new change
+    Rollback(change::rollback::Options),
+    /// Tells who planned, applied and rolled back what
+    History(change::history::Options),
 }
 
 fn main() -> ExitCode {
     match Cli::parse().verb {
         Verb::Fleet(verb) => fleet::main(verb),
         Verb::Config(verb) => config::main(verb),
+        Verb::Plan(options) => change::plan::main(&options),
+        Verb::Apply(options) => change::apply::main(&options),
+        Verb::Rollback(options) => change::rollback::main(&options),
+        Verb::History(options) => change::history::main(&options),
     }
 }
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -20,7 +20,8 @@
 const GROW: f64 = 1.05; // mean answer over the calm one up to which that bound, where it binds, may grow
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
-const RATE_TAU: f64 = 2.0; // memory of use in seconds: longer than pauses, shorter than shifts of weight
+/// Memory of use in seconds: longer than pauses, shorter than shifts of weight.
+pub(crate) const RATE_TAU: f64 = 2.0;
 const HOLD: f64 = 0.5; // share of an aim that a request may wait for a place at most
 const IN_TIME: f64 = 3.0; // mean answers that must fit in what is left of its aim then: most come in that
 const CROWD: f64 = 3.0; // how much sooner than that the line is full: its tail would wait for all before it
@@ -33,7 +34,7 @@
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
 const COVER: usize = 8; // times that the gateways' shares of the backends overlap: next to none is left out
-const COUNTED: Micros = 100_000; // how long a count of what the backends are worth stands: warmth moves slowly
+const COUNTED: Micros = 100_000; // how long a count of what the backends are worth stands
 const LOOK: usize = 10; // backends compared in a choice: more change it little, and cost as much as all else
 const SICK_ERRORS: f64 = 0.25; // share of errors in recent answers from which a backend gets a trickle only
 const REST: Micros = 500_000; // how long it rests before one attempt tries it again; doubles up to 2^3
@@ -77,15 +78,46 @@
         let own = self.rate.max(plan.rate / self.width.max(1.0) * floor);
         own / (own + self.others).max(1e-9)
     }
+
+    /// Fills the stores up to now.
+    fn fill(&mut self, now: Micros, plan: &Plan) {
+        let span = (now - self.filled) as f64 / SECOND;
+        let keep = decay(self.filled, now, RATE_TAU);
+        self.rate *= keep;
+        let mut filling = plan.rate;
+        if self.home {
+            self.others *= keep;
+        } else {
+            // Between two words of a home, the use that goes on unheard is taken off the filling.
+            filling = (plan.rate - self.others).max(plan.rate * self.share(plan));
+        }
+        self.level = (self.level + filling * span).min(plan.burst);
+        self.ceiling =
+            (self.ceiling + plan.ceiling_rate * self.part * span).min(plan.ceiling_burst * self.part);
+        self.filled = now;
+    }
+
+    /// Carries the stores over to other figures: a raised quota refills none, a lowered one leaves no debt.
+    /// One that had no limit begins full, but for a ceiling, which counts from nothing as at a start.
+    fn carry(&mut self, was: &Plan, is: &Plan) {
+        let unlimited = was.rate == 0.0 && is.rate > 0.0;
+        self.level = if unlimited { is.burst } else { self.level.clamp(-is.burst, is.burst) };
+        self.ceiling = self.ceiling.min(is.ceiling_burst * self.part);
+    }
+}
+
+impl Usual {
+    /// What is taken for usual before any answer.
+    fn first(class: &Class, now: Micros) -> Usual {
+        let recent = class.aim as f64 * 0.15;
+        Usual { recent, calm: recent, long: recent, at: now, count: 0.0 }
+    }
 }
 
 impl Gateway {
     /// A gateway that starts now and knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let usual =
-            settings.classes.iter().map(|c| Usual { recent: c.aim as f64 * 0.15, ..Usual::default() });
-        let usual: Vec<Usual> =
-            usual.map(|u| Usual { calm: u.recent, long: u.recent, at: now, ..u }).collect();
+        let usual: Vec<Usual> = settings.classes.iter().map(|c| Usual::first(c, now)).collect();
         let pace = usual.iter().map(|u| u.recent).sum::<f64>() / usual.len().max(1) as f64;
         let shares = u64::from(settings.gateways.max(1));
         // Most of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
@@ -128,6 +160,7 @@
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, act),
             Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
             Event::Roster(kind, list) => self.on_roster(kind, list, act),
+            Event::Settings(new) => self.on_settings(*new),
             Event::Timer(_) if self.now < self.wake_at => return,
             Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } => {}
         }
@@ -155,7 +188,7 @@
         if !self.ladder_passes(req.customer, plan, unseen) {
             return self.refuse(req.id, Micros::MAX, act);
         }
-        let open = Open { req, arrived: self.now, ..Open::default() };
+        let open = Open { req, class: self.s.classes[class], arrived: self.now, ..Open::default() };
         let (now, may_wait) = (self.now, self.may_wait(&open, self.now));
         let (quota, ceiling) = self.wait_for_room(&req);
         let c = &self.customers[&req.customer];
@@ -184,11 +217,12 @@
     /// Lets a request in if the stores have room; without it, one that is held stays so till the `last` word.
     fn admit(&mut self, id: RequestId, last: bool, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
-        let (req, held) = (o.req, std::mem::take(&mut o.held));
+        let (req, aim, held) = (o.req, o.class.aim, std::mem::take(&mut o.held));
         let (quota_wait, ceiling_wait) = self.wait_for_room(&req);
         let wait = quota_wait.into_iter().chain(ceiling_wait).reduce(f64::max);
         // The fuller the line, the fewer customers may join it; the same ones for an epoch, as on the ladder.
-        let line = CROWD * self.waiting.len() as f64 * self.pace / self.limit() / self.hold(&req).max(1.0);
+        let hold = self.hold(req.class, aim).max(1.0);
+        let line = CROWD * self.waiting.len() as f64 * self.pace / self.limit() / hold;
         let full = self.out as f64 >= self.limit() && self.draw(req.customer) >= 1.0 - line;
         if wait.is_some() && !last {
             self.requests.entry(id).and_modify(|o| o.held = held);
@@ -264,22 +298,8 @@
 
     /// Fills a customer's stores up to now.
     fn fill(&mut self, id: CustomerId) -> Option<&mut Customer> {
-        let now = self.now;
         let c = self.customers.get_mut(&id)?;
-        let plan = &self.s.plans[c.plan];
-        let span = (now - c.filled) as f64 / SECOND;
-        let keep = decay(c.filled, now, RATE_TAU);
-        c.rate *= keep;
-        let mut filling = plan.rate;
-        if c.home {
-            c.others *= keep;
-        } else {
-            // Between two words of a home, the use that goes on unheard is taken off the filling.
-            filling = (plan.rate - c.others).max(plan.rate * c.share(plan));
-        }
-        c.level = (c.level + filling * span).min(plan.burst);
-        c.ceiling = (c.ceiling + plan.ceiling_rate * c.part * span).min(plan.ceiling_burst * c.part);
-        c.filled = now;
+        c.fill(self.now, &self.s.plans[c.plan]);
         Some(c)
     }
 
@@ -319,7 +339,8 @@
         c.level = (c.level - units).clamp(-plan.burst, plan.burst);
         let granted = units.clamp(0.0, c.granted);
         c.granted -= granted;
-        c.ceiling = (c.ceiling - units + granted).min(plan.ceiling_burst * c.part);
+        let most = plan.ceiling_burst * c.part;
+        c.ceiling = (c.ceiling - units + granted).clamp(-most, most); // without a ceiling no debt grows
         c.used += units;
         c.rate = (c.rate + units / RATE_TAU).max(0.0);
     }
@@ -370,10 +391,9 @@
     }
 
     /// How long a request may wait for a place: sent later, it would likely be answered too late.
-    fn hold(&self, req: &Request) -> f64 {
-        let k = usize::from(req.class);
-        let aim = self.s.classes[k].aim as f64;
-        (aim - IN_TIME * self.usual[k].recent).clamp(0.0, aim * HOLD)
+    fn hold(&self, class: u8, aim: Micros) -> f64 {
+        let aim = aim as f64;
+        (aim - IN_TIME * self.usual[usize::from(class)].recent).clamp(0.0, aim * HOLD)
     }
 
     fn step_alert(&mut self, act: &mut Vec<Action>) {
@@ -432,7 +452,7 @@
         let (noise, now) = (mix(self.rng), self.now);
         let o = &self.requests[&id];
         let k = usize::from(o.req.class);
-        let bound = match (self.s.classes[k].repeat, o.may_have_run()) {
+        let bound = match (o.class.repeat, o.may_have_run()) {
             (Repeat::Keyed { window, .. }, Some(a)) if now + self.s.tick >= a.sent + window => return None,
             (Repeat::Keyed { group, .. }, Some(a)) => Some((group, a.to)),
             _ => None,
@@ -495,7 +515,7 @@
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
         }
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
-        let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
+        let patience = o.patience();
         self.checks.push(Reverse((now + (patience * SILENCE) as Micros, id)));
         self.out += 1;
         self.sent_rate = self.sent_rate * decay(self.sent_at, now, RATE_TAU) + 1.0 / RATE_TAU;
@@ -603,7 +623,7 @@
     /// Tries a further attempt, where the class, the time and the budget allow one.
     fn again(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let o = &self.requests[&id];
-        let class = &self.s.classes[usize::from(o.req.class)];
+        let class = &o.class;
         let allowed = class.repeat != Repeat::Once || o.may_have_run().is_none();
         let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
@@ -617,8 +637,7 @@
     /// The final answer of a request that is not served: refused where that is true, else failed.
     fn finish(&mut self, id: RequestId, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
-        let repeat = self.s.classes[usize::from(o.req.class)].repeat;
-        if matches!(repeat, Repeat::Safe | Repeat::Keyed { group: Group::All, .. })
+        if matches!(o.class.repeat, Repeat::Safe | Repeat::Keyed { group: Group::All, .. })
             || o.may_have_run().is_none()
         {
             self.refuse(id, RUNG_UP, act);
@@ -681,7 +700,8 @@
     /// Ends a request that has waited for a place for as long as it may; true if it need not wait.
     fn give_up(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let Some(o) = self.requests.get(&id).filter(|o| !o.done && o.out() == 0) else { return true };
-        let end = self.now > o.arrived + self.hold(&o.req) as Micros || !self.may_wait(o, self.now);
+        let end = self.now > o.arrived + self.hold(o.req.class, o.class.aim) as Micros
+            || !self.may_wait(o, self.now);
         if end {
             self.finish(id, act);
         }
@@ -695,7 +715,7 @@
         }
         let Some(o) = self.requests.get_mut(&id).filter(|o| !o.done && !o.streaming) else { return };
         let k = usize::from(o.req.class);
-        let (once, patience) = (self.s.classes[k].repeat == Repeat::Once, o.patience(self.s.classes[k].aim));
+        let (once, patience) = (o.class.repeat == Repeat::Once, o.patience());
         let Some(a) = o.attempts.iter_mut().rev().find(|a| a.out && !a.cancelled) else { return };
         let (bid, hedge_at) = (a.to.backend, a.sent + (patience * HEDGE) as Micros);
         let Some(b) = self.backends.get_mut(&bid) else { return };
@@ -862,16 +882,26 @@
     fn on_use(&mut self, from: u16, younger: bool, u: Use) -> Option<News> {
         let (now, life) = (self.now, self.life());
         let young = self.known_since.is_none() && now - self.born < AGING; // later one may have forgotten
-        let plan = self.s.plans.get(usize::from(u.plan))?;
+        let (clipped, most) = (usize::from(u.plan), self.s.plans.len().saturating_sub(1));
+        // A message names the first plans only; the others pass under the last of these.
+        let known = self.customers.get(&u.customer).map(|c| (c.plan, c.seen < self.changed_at));
+        let place = known.map(|k| k.0).filter(|p| (*p).min(MOST_PLAN) == clipped).unwrap_or(clipped);
+        if known.is_none() && clipped == MOST_PLAN && most > MOST_PLAN {
+            return None; // which one is told by its first request here; the count goes on till then
+        }
+        let plan = self.s.plans.get(place)?;
         let (burst, cap, told) = (plan.burst, plan.open_cap, f64::from(u.level) / 254.0 * plan.burst);
         let level = if u.level < 255 && !young { told } else { (plan.rate * life).min(burst) };
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
         let owed = burst - level;
-        let new = || Customer { plan: usize::from(u.plan), level, owed, filled: now, ..Customer::default() };
-        self.customers.entry(u.customer).or_insert_with(new);
+        let new = || Customer { plan: place, level, owed, filled: now, ..Customer::default() };
+        let c = self.customers.entry(u.customer).or_insert_with(new);
+        if known.is_some_and(|k| k.1) {
+            c.plan = place; // the settings have changed since it was seen here, and a peer knows its plan
+        }
         self.settle_in(u.customer, u.first, u.width);
         let c = self.fill(u.customer)?;
-        if c.plan != usize::from(u.plan) || !c.home {
+        if c.plan != place || !c.home {
             return None; // not a home of this one
         }
         c.seen = c.seen.max(now);
@@ -927,7 +957,29 @@
         }
     }
 
-    // ---- 7. The list of backends ----
+    // ---- 7. New settings ----
+
+    /// Requests that are open end under their class as it was; stores are filled by the old figures till now.
+    fn on_settings(&mut self, mut new: Settings) {
+        // Places beyond the end may be in use still; what they were sold for must not count on the ladder.
+        let price = new.plans.last().map_or(1.0, |p| p.price);
+        let rest = self.s.plans.iter().skip(new.plans.len()).map(|p| Plan { price, ..p.clone() });
+        new.plans.extend(rest);
+        new.classes.extend(self.s.classes.iter().skip(new.classes.len()));
+        for c in self.customers.values_mut() {
+            c.fill(self.now, &self.s.plans[c.plan]);
+            c.carry(&self.s.plans[c.plan], &new.plans[c.plan]);
+        }
+        let more = new.classes.iter().skip(self.usual.len()).map(|c| Usual::first(c, self.now));
+        self.usual.extend(more);
+        let (count, backends) = (new.classes.len(), self.backends.values_mut());
+        let known = backends.filter(|b| !b.health.is_empty());
+        known.for_each(|b| b.health.resize(count, Health::default()));
+        (self.s.classes, self.s.plans, self.s.rules) = (new.classes, new.plans, new.rules);
+        (self.s.limits, self.changed_at) = (new.limits, self.now);
+    }
+
+    // ---- 8. The list of backends ----
 
     fn on_roster(&mut self, kind: RosterKind, list: Vec<Listed>, act: &mut Vec<Action>) {
         if kind == RosterKind::Failed {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -32,7 +32,7 @@
 }
 
 /// Whether a request that may have run may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Repeat {
     /// Always.
     Safe,
@@ -44,11 +44,12 @@
         window: Micros,
     },
     /// Only with proof that no earlier attempt ran.
+    #[default]
     Once,
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -331,6 +332,9 @@
     },
     /// The client left; no answer is owed.
     Withdrawn(RequestId),
+    /// Other classes, plans, limits and figures of the rules from now on; all else of them is as it was. A place in a list
+    /// stays its class's or plan's; one that is no longer there is in no request that comes.
+    Settings(Box<Settings>),
     /// A timer came due.
     Timer(u32),
     /// A probe ended.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -49,4 +49,4 @@
 mod state;
 
 pub use interface::*;
-pub use state::Gateway;
+pub use state::{Gateway, InUse};
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -21,6 +21,8 @@
 #[derive(Default)]
 pub struct Open {
     pub req: Request,
+    /// Its class as it was when the request came: it ends under that, whatever changes meanwhile.
+    pub class: Class,
     pub arrived: Micros,
     pub attempts: Vec<Attempt>,
     pub done: bool,
@@ -50,8 +52,8 @@
     }
 
     /// How long an answer is worth something: the aim, or what the client waits if that is less.
-    pub fn patience(&self, aim: Micros) -> f64 {
-        aim.min(self.req.deadline.saturating_sub(self.arrived)) as f64
+    pub fn patience(&self) -> f64 {
+        self.class.aim.min(self.req.deadline.saturating_sub(self.arrived)) as f64
     }
 }
 
@@ -217,6 +219,8 @@
     pub(crate) rng: u64,
     pub(crate) now: Micros,
     pub(crate) born: Micros,
+    /// When the settings last changed.
+    pub(crate) changed_at: Micros,
     pub(crate) wake_at: Micros,
     /// Stood still until then: times found with that turn say nothing.
     pub(crate) woke: Micros,
@@ -280,7 +284,31 @@
     ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// What customers on a plan use, as far as this gateway knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct InUse {
+    /// Customers that are known.
+    pub customers: u64,
+    /// The most that one of them has used of late, over all gateways, in units a second.
+    pub rate: f64,
+    /// The most attempts that one of them has out.
+    pub open: u32,
+}
+
 impl Gateway {
+    /// What is used of each plan, in the order of the settings. Looks at every customer.
+    pub fn in_use(&self) -> Vec<InUse> {
+        let mut plans = vec![InUse::default(); self.s.plans.len()];
+        for c in self.customers.values() {
+            let Some(p) = plans.get_mut(c.plan) else { continue };
+            let faded = decay(c.filled, self.now, crate::control::RATE_TAU);
+            p.customers += 1;
+            p.rate = p.rate.max((c.rate + c.others) * faded);
+            p.open = p.open.max(c.open + c.others_open);
+        }
+        plans
+    }
+
     /// A request is held no longer; what was granted for the last one lapses with it.
     pub(crate) fn let_go(&mut self, customer: CustomerId, id: RequestId, held: bool) {
         if let Some(c) = self.customers.get_mut(&customer).filter(|_| held) {
--- /dev/null
+++ b/crates/decision/tests/settings.rs
@@ -0,0 +1,245 @@
+//! New settings in service: stores carry over, what is open ends as it began, places outlive their names.
+
+mod rig;
+
+use proptest::prelude::*;
+use rig::*;
+use wrenfork_decision::*;
+
+/// One gateway, so that all of a quota is its own.
+fn alone() -> Settings {
+    let mut s = settings();
+    s.gateways = 1;
+    s.limits.peers = false;
+    s
+}
+
+fn changed(s: &Settings, change: impl FnOnce(&mut Settings)) -> Event {
+    let mut s = s.clone();
+    change(&mut s);
+    Event::Settings(Box::new(s))
+}
+
+/// How many of so many requests are sent at once, each answered.
+fn passes(rig: &mut Rig, plan: u16, customer: u64, tries: u32) -> u32 {
+    let mut sent = 0;
+    for _ in 0..tries {
+        let (id, actions) = rig.ask_of(0, plan, customer, 1.0, 1.0);
+        if let Some(Action::Send { backend, .. }) = actions.iter().find(|a| matches!(a, Action::Send { .. }))
+        {
+            sent += 1;
+            rig.settle(id, 0, *backend, Outcome::Ok);
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_raised_quota_does_not_refill_a_store_and_fills_at_the_new_rate_from_now_on() {
+    let s = alone();
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    assert_eq!(passes(&mut rig, 1, 7, 10), 6, "the burst");
+    rig.pass(S); // two units at the old rate
+    rig.feed(changed(&s, |s| s.plans[1] = plan(20.0, 60.0)));
+    assert_eq!(passes(&mut rig, 1, 7, 10), 2, "what the old rate had filled, and nothing more");
+    rig.pass(S / 2);
+    assert_eq!(passes(&mut rig, 1, 7, 30), 10, "half a second at the new one");
+}
+
+#[test]
+fn a_lowered_quota_leaves_no_debt() {
+    let mut s = alone();
+    s.plans[1] = plan(2.0, 40.0);
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    assert_eq!(passes(&mut rig, 1, 7, 38), 38);
+    rig.feed(changed(&s, |s| s.plans[1] = plan(1.0, 3.0)));
+    assert_eq!(passes(&mut rig, 1, 7, 10), 2, "what was left of the store");
+    rig.pass(10 * S);
+    assert_eq!(passes(&mut rig, 1, 7, 10), 3, "full at the new burst");
+}
+
+#[test]
+fn a_first_quota_begins_full_and_a_first_ceiling_at_nothing() {
+    let mut s = alone();
+    s.plans[1] = Plan { ceiling_rate: 0.0, ceiling_burst: 0.0, ..plan(0.0, 0.0) };
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    assert_eq!(passes(&mut rig, 1, 7, 20), 20);
+    rig.feed(changed(&s, |s| s.plans[1] = plan(1.0, 5.0)));
+    assert_eq!(passes(&mut rig, 1, 7, 10), 5);
+    rig.feed(changed(&s, |s| {
+        s.plans[1] = Plan { ceiling_rate: 4.0, ceiling_burst: 8.0, ..plan(100.0, 100.0) };
+    }));
+    assert_eq!(passes(&mut rig, 1, 7, 10), 0, "what was used before the ceiling is not known");
+    rig.pass(S);
+    assert_eq!(passes(&mut rig, 1, 7, 10), 4);
+}
+
+/// Guards against a referral that runs twice because its class became safe to repeat while it was under way.
+#[test]
+fn a_request_ends_under_the_class_as_it_was_when_it_came() {
+    let s = alone();
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    let (id, actions) = rig.ask_of(2, 0, 7, 1.0, 1.0);
+    let Some(Action::Send { backend, .. }) = actions.first() else { panic!("{actions:?}") };
+    let backend = *backend;
+    rig.feed(changed(&s, |s| s.classes[2].repeat = Repeat::Safe));
+    let actions = rig.settle(id, 0, backend, Outcome::Reset);
+    assert_eq!(actions, [Action::Fail(id)], "it may have run");
+    // One that comes now may run again.
+    let (id, actions) = rig.ask_of(2, 0, 7, 1.0, 1.0);
+    let Some(Action::Send { backend, .. }) = actions.first() else { panic!("{actions:?}") };
+    let actions = rig.settle(id, 0, *backend, Outcome::Reset);
+    assert!(matches!(actions[..], [Action::Send { .. }]), "{actions:?}");
+}
+
+#[test]
+fn places_that_went_are_still_there_for_what_is_open() {
+    let s = alone();
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    let open: Vec<_> = (0..3).map(|class| rig.ask_of(class, 3 - u16::from(class), 7, 1.0, 1.0)).collect();
+    rig.feed(changed(&s, |s| (s.classes.truncate(1), s.plans.truncate(1)).1));
+    rig.pass(S / 10);
+    for (id, actions) in open {
+        if let Some(Action::Send { backend, .. }) = actions.first() {
+            let actions = rig.settle(id, 0, *backend, Outcome::Ok);
+            assert!(actions.iter().all(|a| !matches!(a, Action::Send { .. })), "{actions:?}");
+        }
+    }
+    rig.feed(changed(&s, |s| s.classes.push(class(Repeat::Safe))));
+    rig.pass(30 * S);
+    let (_, actions) = rig.ask_of(3, 0, 8, 1.0, 1.0);
+    assert!(matches!(actions[..], [Action::Send { .. }]), "a new class is served: {actions:?}");
+}
+
+/// A plan that went must not count among the prices by which the ladder tells customers apart.
+#[test]
+fn what_is_in_use_is_told_by_plan() {
+    let s = alone();
+    let mut rig = Rig::with(s.clone(), 4);
+    rig.pass(S);
+    let (_, actions) = rig.ask_of(0, 1, 7, 2.0, 1.0);
+    assert!(matches!(actions[..], [Action::Send { .. }]));
+    let used = rig.gateway.in_use();
+    assert_eq!((used.len(), used[1].customers, used[1].open), (4, 1, 1));
+    assert!(used[1].rate > 0.0 && used[0] == InUse::default());
+}
+
+/// Many plans share the last number that a message has room for: a home must not take one of these for another.
+#[test]
+fn a_customer_on_a_plan_beyond_what_messages_name_is_counted_by_its_home() {
+    let mut s = settings();
+    s.gateways = 2;
+    s.plans = vec![plan(1e6, 1e6); 80];
+    s.plans[70] = plan(2.0, 12.0);
+    let mut rigs: Vec<Rig> =
+        (0..2).map(|me| Rig::with(Settings { me: GatewayNo(me), ..s.clone() }, 4)).collect();
+    let mut sent = 0;
+    for step in 0..400 {
+        for me in 0..2 {
+            rigs[me].now += 10_000;
+            let mut actions = rigs[me].feed(Event::Timer(0));
+            if step % 5 == 0 {
+                let (id, more) = rigs[me].ask_of(0, 70, 7, 1.0, 2.0);
+                actions.extend(more);
+                let _ = id;
+            }
+            for action in actions {
+                match action {
+                    Action::Send { id, backend, .. } => {
+                        sent += 1;
+                        rigs[me].settle(id, 0, backend, Outcome::Ok);
+                    }
+                    Action::Tell { bytes, .. } => {
+                        let from = GatewayNo(me as u16);
+                        rigs[1 - me].feed(Event::Peer { from, bytes });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    // Four seconds at 2 a second and a burst of 12, once; two gateways that count alone would let 24 more through.
+    assert!((10..=24).contains(&sent), "{sent} sent of 20 that the quota holds");
+}
+
+/// Keeps the books over what was asked for: what is out, and what still owes an answer.
+fn note(
+    actions: Vec<Action>,
+    out: &mut Vec<(RequestId, u16, BackendId)>,
+    owed: &mut std::collections::BTreeSet<RequestId>,
+    counts: &mut std::collections::BTreeMap<RequestId, u16>,
+) {
+    for action in actions {
+        match action {
+            Action::Send { id, backend, .. } => {
+                let n = counts.entry(id).or_default();
+                out.push((id, *n, backend));
+                *n += 1;
+            }
+            Action::Refuse { id, .. } | Action::Fail(id) => drop(owed.remove(&id)),
+            _ => {}
+        }
+    }
+}
+
+proptest! {
+    /// Any changes between any requests: nobody panics, each request ends, and none that may not runs twice.
+    #[test]
+    fn any_sequence_of_settings_leaves_no_request_open(
+        steps in prop::collection::vec((0u8..6, 0u8..5, 0u16..6, 0.0f64..50.0), 1..120)
+    ) {
+        let s = alone();
+        let mut rig = Rig::with(s.clone(), 3);
+        let (mut classes, mut plans) = (3u8, 4u16);
+        let mut out: Vec<(RequestId, u16, BackendId)> = Vec::new();
+        let mut owed = std::collections::BTreeSet::new();
+        let mut counts = std::collections::BTreeMap::<RequestId, u16>::new();
+        for (what, class_no, plan_no, figure) in steps {
+            let actions = match what {
+                0 => {
+                    classes = class_no + 1;
+                    plans = plan_no + 1;
+                    let new = changed(&s, |s| {
+                        s.classes = vec![class(Repeat::Safe); usize::from(classes)];
+                        s.plans = vec![Plan { open_cap: u32::from(class_no), ..plan(figure, figure * 2.0) }; usize::from(plans)];
+                        s.limits.max_attempts = 1 + u32::from(class_no);
+                    });
+                    rig.feed(new)
+                }
+                1 | 2 => {
+                    let (id, actions) =
+                        rig.ask_of(class_no % classes, plan_no % plans, u64::from(plan_no), 1.0 + figure / 50.0, 1.0);
+                    owed.insert(id);
+                    actions
+                }
+                3 => rig.pass(figure as u64 * 20_000),
+                _ if out.is_empty() => Vec::new(),
+                _ => {
+                    let (id, attempt, backend) = out.swap_remove(usize::from(class_no) % out.len());
+                    let outcome = if what == 4 { Outcome::Ok } else { Outcome::Reset };
+                    if what == 4 {
+                        owed.remove(&id);
+                    }
+                    rig.settle(id, attempt, backend, outcome)
+                }
+            };
+            note(actions, &mut out, &mut owed, &mut counts);
+        }
+        // What is still out comes back, what is sent for it as well; then time runs out for what waits.
+        for _ in 0..100 {
+            while let Some((id, attempt, backend)) = out.pop() {
+                owed.remove(&id);
+                let actions = rig.settle(id, attempt, backend, Outcome::Ok);
+                note(actions, &mut out, &mut owed, &mut counts);
+            }
+            let actions = rig.pass(S / 10);
+            note(actions, &mut out, &mut owed, &mut counts);
+        }
+        prop_assert!(owed.is_empty(), "{owed:?}");
+    }
+}
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -201,6 +201,11 @@
     }
 }
 
+/// How long a connection may stand idle: where both ends close at the same moment a request may be written to a dead one.
+fn idle_for(keepalive: Micros) -> Micros {
+    keepalive / 5 * 4
+}
+
 impl Backends {
     /// No backend yet. `tokens` names the connections to the poll.
     pub fn new(keepalive: Micros, tokens: fn(usize) -> Token) -> Self {
@@ -209,14 +214,18 @@
             pools: HashMap::new(),
             serial: 0,
             chunk: vec![0; CHUNK],
-            // Where both ends close at the same moment a request may be written to a dead connection.
-            idle_for: keepalive / 5 * 4,
+            idle_for: idle_for(keepalive),
             staleness: Staleness::default(),
             tokens,
             done: Vec::new(),
         }
     }
 
+    /// Backends keep an idle connection for so long from now on.
+    pub fn keep_idle(&mut self, keepalive: Micros) {
+        self.idle_for = idle_for(keepalive);
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -161,7 +161,8 @@
     serial: u64,
     next_id: u64,
     tokens: fn(usize) -> Token,
-    words: Vocabulary,
+    /// What requests are read by; another one with another generation.
+    pub words: Vocabulary,
     chunk: Vec<u8>,
     args: Vec<Range<usize>>,
     /// Connections with something to write, and those to be read again.
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -2,19 +2,19 @@
 
 use crate::discovery::{Roster, Sites};
 use serde_json::Value;
+use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use wrenfork_config::render::{contracts, render};
+use wrenfork_config::enforced;
 use wrenfork_config::set::Set;
-use wrenfork_config::settings::Conf;
+use wrenfork_control::state::State;
 use wrenfork_decision::{Micros, Settings};
 use wrenfork_wire::call::{Identity, Vocabulary};
 
 /// What an ingress is told.
 pub struct Config {
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
     pub seed: u64,
     /// The most file descriptors.
     pub sockets: usize,
@@ -26,13 +26,81 @@
     pub known: Roster,
     /// Where the count service is, and how long an answer of it is waited for; none where the settings have none.
     pub counter: Option<(SocketAddr, Micros)>,
+    pub enforced: Enforced,
+    pub sites: Sites,
+    /// What may change later, and what may not.
+    pub told: enforced::Told,
+    /// Where changes are told, and what must not be forgotten is kept; from the application's file.
+    pub control: Control,
+}
+
+/// What is enforced: all that a change may change.
+pub struct Enforced {
     pub settings: Settings,
     pub vocabulary: Vocabulary,
-    pub sites: Sites,
+    pub discovery: SocketAddr,
     pub connect_timeout: Micros,
     pub keepalive: Micros,
 }
 
+/// The control side of an ingress.
+#[derive(Clone, Debug, Default)]
+pub struct Control {
+    /// The name under which changes know it.
+    pub name: String,
+    /// Its socket; none where changes take a restart.
+    pub socket: Option<PathBuf>,
+    /// The folder for what must not be forgotten.
+    pub state: Option<PathBuf>,
+    /// The sockets of the others that enforce the same.
+    pub others: Vec<PathBuf>,
+}
+
+/// What a state means here; `fixed` is what no change changes.
+///
+/// # Errors
+///
+/// Names the key that is unknown, missing or of no use.
+pub fn compile(fixed: &[(String, String)], state: &State) -> Result<Enforced, String> {
+    let conf = enforced::join(fixed, &state.0)?;
+    let settings = conf.settings()?;
+    if settings.tick == 0 {
+        return Err("setting tick_us is 0".into());
+    }
+    let names = conf.names("grades")?;
+    let classes: Vec<_> = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
+    let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
+    let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
+    let identity = match state.0.get("sends") {
+        Some(sends) => {
+            let sends: Vec<&str> = sends.split(',').collect();
+            let places: HashMap<&str, u16> = plans.iter().map(String::as_str).zip(0..).collect();
+            let accounts =
+                state.0.iter().filter_map(|(key, plan)| Some((key.strip_prefix("accounts.")?, plan)));
+            let accounts = accounts.map(|(id, plan)| {
+                let id = wrenfork_config::values::account(id)?;
+                let place = places.get(plan.as_str()).filter(|_| !plan.is_empty());
+                let place = place
+                    .ok_or_else(|| format!("account {id:016x} is on plan {plan}, which there is not"))?;
+                // A quota of its own is this program's matter: backends know the plan.
+                let known = plan.split('~').next().unwrap_or(plan);
+                Ok((id, (*place, known.to_string())))
+            });
+            Some(Identity {
+                accounts: accounts.collect::<Result<_, String>>()?,
+                sends: classes.iter().map(|c| !c.0.is_empty() && sends.contains(&c.0.as_str())).collect(),
+            })
+        }
+        None => None,
+    };
+    let discovery = state.0.get("discovery").ok_or("discovery is missing")?;
+    let (connect_timeout, keepalive) =
+        (conf.micros("limits.connect_timeout_us")?, conf.micros("limits.keepalive_us")?);
+    let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity };
+    let discovery = address(discovery, "discovery")?;
+    Ok(Enforced { settings, vocabulary, discovery, connect_timeout, keepalive })
+}
+
 /// The peers of an ingress.
 pub struct PeerAddresses {
     pub listen: SocketAddr,
@@ -84,27 +152,6 @@
     n.ok_or_else(|| format!("{list}.{key} is missing or no whole number above 0"))
 }
 
-/// Flattens nested settings to the paths that the adapter's settings have.
-fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
-    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
-    let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
-    match value {
-        Value::Null => {}
-        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(&below(key), v, pairs)),
-        Value::Array(list) => {
-            if list.iter().all(Value::is_object) {
-                pairs.push((below("count"), list.len().to_string()));
-                list.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
-            }
-            if !list.iter().any(Value::is_object) {
-                let joined: Vec<String> = list.iter().map(plain).collect();
-                pairs.push((path.to_string(), joined.join(",")));
-            }
-        }
-        _ => pairs.push((path.to_string(), plain(value))),
-    }
-}
-
 impl Config {
     /// Reads the file at a path; `var` looks up the environment, whose addresses come before the file's.
     pub fn read(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
@@ -138,42 +185,43 @@
             (None, [only]) => &only.name.value,
             (None, _) => return Err("the application has several sidecars: name one with --sidecar".into()),
         };
-        let told = render(app, site, set.fleet().map(|f| f.content), name)?;
-        let mut config = Config::of(&told, |_| None)?;
+        let (told, split) = enforced::sidecar(app, site, set.fleet().map(|f| f.content), name)?;
+        let mut config = Config::with(&told, split, |_| None)?;
         config.seed = RandomState::new().hash_one(name);
-        let sends = |class: &str| app.sends.iter().any(|c| c.value == class);
-        let places = contracts(app, site).of;
-        let accounts = app.accounts.iter().filter_map(|account| {
-            let place = u16::try_from(*places.get(&account.id.value)?).ok()?;
-            Some((account.id.value, (place, account.plan.as_ref()?.value.clone())))
-        });
-        config.vocabulary.identity = Some(Identity {
-            accounts: accounts.collect(),
-            sends: site.classes.iter().map(|c| sends(&c.name.value)).collect(),
-        });
+        let path =
+            |p: &Option<wrenfork_config::reader::At<String>>| p.as_ref().map(|p| PathBuf::from(&p.value));
+        let own = app.sidecars.iter().find(|s| s.name.value == *name);
+        let others = app.sidecars.iter().filter(|s| s.name.value != *name);
+        config.control = Control {
+            name: enforced::called(app, name),
+            socket: own.and_then(|s| path(&s.control)),
+            state: own.and_then(|s| path(&s.state)),
+            others: others.filter_map(|s| path(&s.control)).collect(),
+        };
         Ok(config)
     }
 
     /// Takes what is told; `var` looks up the environment.
     fn of(json: &Value, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::with(json, enforced::split(json)?, var)
+    }
+
+    fn with(
+        json: &Value,
+        mut told: enforced::Told,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, String> {
         let place = |name: &str, key: &str| match var(name) {
             Some(text) => address(&text, name),
             None => address(text(json, key)?, key),
         };
         let seed = text(json, "seed")?;
         let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hex number: {seed}"))?;
-        let mut pairs = Vec::new();
-        flatten("", json.get("settings").ok_or("settings is missing")?, &mut pairs);
-        let conf = Conf::new(pairs);
-        let settings = conf.settings()?;
-        if settings.tick == 0 {
-            return Err("setting tick_us is 0".into());
-        }
-        let names = conf.names("grades")?;
-        let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
-        let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
-        let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
-        let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity: None };
+        let discovery = place("LB_DISCOVERY", "discovery")?;
+        told.state.insert("discovery".into(), discovery.to_string());
+        let enforced = compile(&told.fixed, &State(told.state.clone()))?;
+        let conf = enforced::join(&told.fixed, &told.state)?;
+        let settings = &enforced.settings;
         let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
         let known = json.get("known").ok_or("known is missing")?;
         let known = Roster::read(known, &sites).map_err(|e| format!("known: {e}"))?;
@@ -188,18 +236,16 @@
         };
         Ok(Config {
             listen: place("LB_LISTEN", "listen")?,
-            discovery: place("LB_DISCOVERY", "discovery")?,
             seed,
             sockets: whole(json, "limits", "sockets")?,
             memory: whole(json, "limits", "memory_mb")?.saturating_mul(1 << 20),
             peers,
             known,
             counter,
-            connect_timeout: conf.micros("limits.connect_timeout_us")?,
-            keepalive: conf.micros("limits.keepalive_us")?,
-            settings,
-            vocabulary,
+            enforced,
             sites,
+            told,
+            control: Control { name: text(json, "name").unwrap_or("ingress").into(), ..Control::default() },
         })
     }
 
--- /dev/null
+++ b/crates/ingress/src/control.rs
@@ -0,0 +1,176 @@
+//! The loop's end of the control side: orders that its threads send, taken between two turns, and the start of those threads.
+
+use crate::config::{compile, Config, Control, Enforced};
+use mio::{Registry, Token, Waker};
+use std::path::Path;
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
+use std::sync::Arc;
+use std::time::Duration;
+use wrenfork_control::figures::Figures;
+use wrenfork_control::participant::Memory;
+use wrenfork_control::protocol::{Ask, Record, Say};
+use wrenfork_control::state::{Generation, State};
+use wrenfork_keeper::ledger::Ledger;
+use wrenfork_keeper::{client, socket, Enforcer, Keeper};
+
+/// How long the loop may take to its next turn before an order counts as lost: far longer than any turn.
+const TURN: Duration = Duration::from_secs(30);
+/// How long another ingress may take to say what it enforces, at a start without a folder.
+const OTHERS: Duration = Duration::from_secs(1);
+/// The part of the memory that one message may take: it is parsed, and a promise is kept beside what is enforced.
+const MESSAGE_SHARE: usize = 8;
+
+/// What the loop is to do between two turns.
+pub enum Order {
+    /// Enforce this from now on.
+    Switch(Box<Enforced>, SyncSender<()>),
+    /// Tell how it goes.
+    Figures(SyncSender<Figures>),
+}
+
+/// The loop's end.
+pub struct Port {
+    orders: Receiver<Order>,
+    keeper: Keeper<Loop>,
+}
+
+impl Port {
+    /// Orders that have come.
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.try_iter().collect()
+    }
+
+    /// Ends the control side.
+    pub fn close(self) {
+        self.keeper.close();
+    }
+}
+
+/// The loop, as the control threads see it.
+struct Loop {
+    fixed: Vec<(String, String)>,
+    orders: Sender<Order>,
+    waker: Arc<Waker>,
+}
+
+impl Loop {
+    fn order<T>(&self, make: impl FnOnce(SyncSender<T>) -> Order) -> Result<T, String> {
+        let (done, answer) = sync_channel(1);
+        self.orders.send(make(done)).map_err(|_| "it is stopping")?;
+        self.waker.wake().map_err(|e| format!("the loop can't be woken: {e}"))?;
+        answer.recv_timeout(TURN).map_err(|_| "the loop does not turn".to_string())
+    }
+}
+
+impl Enforcer for Loop {
+    fn check(&self, state: &State) -> Result<(), String> {
+        compile(&self.fixed, state).map(|_| ())
+    }
+
+    fn switch(&self, state: &State) -> Result<(), String> {
+        let enforced = compile(&self.fixed, state)?;
+        self.order(|done| Order::Switch(Box::new(enforced), done))
+    }
+
+    fn figures(&self) -> Figures {
+        self.order(Order::Figures).unwrap_or_default()
+    }
+
+    fn log(&self, record: &Record) {
+        let Record { what, author, change, generation, why, .. } = record;
+        let change = change.short();
+        if why.is_empty() {
+            tracing::info!(change, generation, author = author.as_str(), "control: {what}");
+        } else {
+            tracing::warn!(change, generation, author = author.as_str(), "control: {what}: {why}");
+        }
+    }
+}
+
+/// What the control side keeps, and what is therefore enforced from the start on.
+pub struct Kept {
+    control: Control,
+    fixed: Vec<(String, String)>,
+    ledger: Ledger,
+    most: usize,
+}
+
+/// Opens what is kept, and has the configuration say what was enforced last: the files say what is wanted, and that is
+/// applied or not.
+///
+/// # Errors
+///
+/// Where the folder can't be used, or what is kept there can't be enforced by this program.
+pub fn open(config: &mut Config) -> Result<Option<Kept>, String> {
+    if config.control.socket.is_none() && config.control.state.is_none() {
+        return Ok(None);
+    }
+    let (control, own) = (config.control.clone(), State(config.told.state.clone()));
+    let first = || first(&control, &own);
+    let ledger = Ledger::open(control.state.as_deref(), first)?;
+    let memory = ledger.memory();
+    let Generation { number, digest } = &memory.enforced;
+    if memory.state != own {
+        tracing::warn!(
+            generation = number,
+            digest = digest.short(),
+            "control: enforcing what was applied last, not the files"
+        );
+    }
+    config.enforced = compile(&config.told.fixed, &memory.state)
+        .map_err(|why| format!("state: generation {number}, which was enforced last, can't be: {why}"))?;
+    tracing::info!(generation = number, digest = digest.short(), "control: enforcing");
+    if let Some((promise, _)) = &memory.promise {
+        let (change, author) = (promise.change.short(), promise.author.as_str());
+        tracing::warn!(
+            change,
+            author,
+            "control: a change is promised and not decided; wrenctl apply --resume ends it"
+        );
+    }
+    let most = config.memory / MESSAGE_SHARE;
+    Ok(Some(Kept { control, fixed: config.told.fixed.clone(), ledger, most }))
+}
+
+/// What an ingress begins with that has nothing kept: what the others enforce, since what was applied there was applied here.
+/// A change that they have only promised is not decided: what was enforced before it is the safest, as all have kept to it.
+fn first(control: &Control, own: &State) -> Memory {
+    let asked = control.others.iter().filter_map(|at| status(at));
+    match asked.max_by_key(|(generation, _)| generation.number).filter(|(g, _)| g.number > 1) {
+        Some((generation, state)) => {
+            tracing::info!(
+                generation = generation.number,
+                "control: nothing was kept; taken from another ingress"
+            );
+            Memory::first(generation.number, state)
+        }
+        None => Memory::first(1, own.clone()),
+    }
+}
+
+fn status(at: &Path) -> Option<(Generation, State)> {
+    match client::ask(at, &Ask::Status, OTHERS) {
+        Ok(Say::Status { generation, state, .. }) if state.digest() == generation.digest => {
+            Some((generation, state))
+        }
+        _ => None,
+    }
+}
+
+impl Kept {
+    /// Serves the control socket, if there is one; the loop is woken by a token.
+    ///
+    /// # Errors
+    ///
+    /// Where the socket can't be had.
+    pub fn serve(self, registry: &Registry, token: Token) -> Result<Option<Port>, String> {
+        let Some(path) = &self.control.socket else { return Ok(None) };
+        let socket = socket::listen(path, 0o600).map_err(|why| format!("control: {why}"))?;
+        let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
+        let (sender, orders) = channel();
+        let served = Loop { fixed: self.fixed, orders: sender, waker: Arc::new(waker) };
+        let keeper = Keeper::start(&self.control.name, socket, self.ledger, served, self.most)?;
+        tracing::info!("control: listening at {}", path.display());
+        Ok(Some(Port { orders, keeper }))
+    }
+}
--- a/crates/ingress/src/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Where it asks.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Goes on at another address: it is asked for its whole list at once, whatever the old one still owed and
     /// however long a failure was to be waited out.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
@@ -165,7 +170,7 @@
         self.pause = (self.pause * 2).min(PAUSES.1);
         let first = !std::mem::replace(&mut self.broken, true);
         if first {
-            crate::log(&format!("discovery: {why}; serving on with the list as it is"));
+            tracing::warn!("discovery: {why}; serving on with the list as it is");
         }
         first
     }
@@ -246,7 +251,7 @@
             Answer::Bad(why) => self.fail(now, &why),
             Answer::Whole(roster, reusable) => {
                 if std::mem::take(&mut self.broken) {
-                    crate::log("discovery: back");
+                    tracing::info!("discovery: back");
                 }
                 (self.index, self.called, self.pause) = (Some(roster.index), None, PAUSES.0);
                 self.buf.clear();
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -6,7 +6,8 @@
 use crate::backends::{Backends, Done, Work};
 use crate::clients::{Accepted, Clients, Incoming, Origin};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Enforced};
+use crate::control::{Kept, Order, Port};
 use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
@@ -23,6 +24,7 @@
 use std::io;
 use std::io::Write;
 use std::time::Duration;
+use wrenfork_control::figures::{Figures, PlanUse};
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
 };
@@ -34,6 +36,7 @@
 const DISCOVERY: Token = Token(2);
 const PEERS: Token = Token(3);
 const COUNTER: Token = Token(4);
+const CONTROL: Token = Token(5);
 /// From here on, even tokens are clients and odd ones backends.
 const FIRST: usize = 6;
 
@@ -65,6 +68,8 @@
     backends: Backends,
     watch: Watch,
     reload: Reload,
+    control: Option<Port>,
+    tally: Tally,
     peers: Option<Peers>,
     counter: Option<Counter>,
     signals: Signals,
@@ -75,6 +80,15 @@
     shutdown: Shutdown,
 }
 
+/// What became of requests since the start.
+#[derive(Clone, Copy, Default)]
+struct Tally {
+    taken: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
 fn settled(
     id: RequestId,
     attempt: u16,
@@ -104,7 +118,12 @@
 
 impl Ingress {
     /// Opens the sockets. From here on clients may come; they are served once [`Ingress::run`] runs.
-    pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, String> {
+    pub fn start(
+        config: Config,
+        kept: Option<Kept>,
+        reload: Reload,
+        mut signals: Signals,
+    ) -> Result<Self, String> {
         let failed = |what: &str, e: io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
         let registry = poll.registry();
@@ -121,7 +140,8 @@
         let peers = peers.transpose()?;
         let clock = Clock::new();
         let now = clock.now();
-        let settings = config.settings;
+        let control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
+        let Enforced { settings, vocabulary, discovery, connect_timeout, keepalive } = config.enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let budget = Budget::new(config.sockets)?;
         let requests = Requests::new(settings.limits.max_open as usize, config.memory / MEMORY_SHARE);
@@ -134,17 +154,19 @@
             tick: settings.tick,
             limits: settings.limits.clone(),
             asks_discovery: settings.discovery == Discovery::Ask,
-            connect_timeout: config.connect_timeout,
+            connect_timeout,
             budget,
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(listener, config.vocabulary, config.memory / MEMORY_SHARE, |key| {
+            clients: Clients::new(listener, vocabulary, config.memory / MEMORY_SHARE, |key| {
                 Token(FIRST + 2 * key)
             }),
-            backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
-            watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
+            backends: Backends::new(keepalive, |key| Token(FIRST + 1 + 2 * key)),
+            watch: Watch::new(discovery, config.sites, config.known.index, DISCOVERY),
             reload,
+            control,
+            tally: Tally::default(),
             peers,
             counter: config.counter.map(|(at, wait)| Counter::new(at, wait, COUNTER)),
             signals,
@@ -156,7 +178,7 @@
         };
         ingress.take_roster(config.known, RosterKind::Cached);
         ingress.pump();
-        crate::log(&format!("listening at {}", config.listen));
+        tracing::info!("listening at {}", config.listen);
         Ok(ingress)
     }
 
@@ -181,8 +203,12 @@
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
             self.turn(&mut ready);
+            self.take_orders();
             if self.may_exit() {
-                crate::log("stopped");
+                if let Some(control) = self.control.take() {
+                    control.close();
+                }
+                tracing::info!("stopped");
                 return Ok(());
             }
         }
@@ -214,7 +240,7 @@
         self.take_incoming();
         for &(token, writable, closed) in ready.iter() {
             match token {
-                DISCOVERY => {}
+                DISCOVERY | CONTROL => {}
                 LISTENER => self.accept_more = true,
                 SIGNALS => self.take_signals(),
                 PEERS => self.hear_peers(),
@@ -243,6 +269,48 @@
         self.take_incoming();
     }
 
+    // ---- Changes ----
+
+    /// Takes what the control side asks for, between two turns.
+    fn take_orders(&mut self) {
+        let orders = self.control.as_ref().map_or(Vec::new(), Port::orders);
+        for order in orders {
+            // Whoever asked may have given up: the answer is lost then, and nothing else.
+            match order {
+                Order::Switch(enforced, done) => {
+                    self.switch(*enforced);
+                    let _ = done.send(());
+                }
+                Order::Figures(done) => drop(done.send(self.figures())),
+            }
+        }
+    }
+
+    /// Enforces a new generation: requests that are open end under the one in which they came.
+    fn switch(&mut self, enforced: Enforced) {
+        let Enforced { settings, vocabulary, discovery, connect_timeout, keepalive } = enforced;
+        self.limits = settings.limits.clone();
+        self.connect_timeout = connect_timeout;
+        self.requests.allow(settings.limits.max_open as usize);
+        self.backends.keep_idle(keepalive);
+        self.shutdown.longest(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+        self.clients.words = vocabulary;
+        if self.watch.address() != discovery {
+            self.watch.move_to(discovery, self.now);
+        }
+        self.events.push_back(Event::Settings(Box::new(settings)));
+        self.pump();
+    }
+
+    fn figures(&self) -> Figures {
+        let Tally { taken, served, refused, failed } = self.tally;
+        let names = self.clients.words.plans.iter();
+        let plans = names.zip(self.gateway.in_use()).filter(|(name, u)| !name.is_empty() && u.customers > 0);
+        let plans = plans
+            .map(|(name, u)| (name.clone(), PlanUse { customers: u.customers, rate: u.rate, open: u.open }));
+        Figures { taken, served, refused, failed, plans: plans.collect() }
+    }
+
     // ---- What comes in ----
 
     fn discover(&mut self, ready: bool) {
@@ -278,7 +346,11 @@
     fn take_signals(&mut self) {
         // All that came since the last look, several of one kind as one.
         let came: Vec<i32> = self.signals.pending().collect();
-        if came.contains(&SIGHUP) {
+        if came.contains(&SIGHUP) && self.control.is_some() {
+            tracing::warn!(
+                "reload: refused: changes are planned and applied here, with wrenctl plan and apply"
+            );
+        } else if came.contains(&SIGHUP) {
             self.reload.asked();
             self.reload();
         }
@@ -340,6 +412,7 @@
         // heap until its time comes.
         self.timers.set(request.deadline, Due::Deadline(id));
         self.requests.insert(id, call, name, origin, (request.deadline, request.deadline + early));
+        self.tally.taken += 1;
         self.events.push_back(Event::Request(request));
     }
 
@@ -419,7 +492,7 @@
     /// come to this, but no client is left without a word.
     fn overdue(&mut self, id: RequestId) {
         if self.requests.owing(id).is_some() {
-            self.answer(id, b"-ERR failed\r\n");
+            self.fail(id);
             self.events.push_back(Event::Withdrawn(id));
         }
     }
@@ -457,7 +530,8 @@
             a.link = None;
         }
         if outcome == Outcome::Ok {
-            self.answer(id, &value); // the first one is the final answer
+            // The first one is the final answer.
+            self.tally.served += u64::from(self.answer(id, &value));
         }
         let complete = self.requests.get(id).is_none_or(|o| o.over);
         let (metered, charged) = (None, None);
@@ -475,13 +549,20 @@
         self.forget(id);
     }
 
-    /// Gives the final answer, once.
-    fn answer(&mut self, id: RequestId, text: &[u8]) {
-        if let Some(open) = self.requests.owing(id) {
+    /// Gives the final answer, once; true if it was this one.
+    fn answer(&mut self, id: RequestId, text: &[u8]) -> bool {
+        let owing = self.requests.owing(id);
+        let owed = owing.is_some();
+        if let Some(open) = owing {
             open.over = true;
             self.clients.answer(open.origin, text);
         }
         self.forget(id);
+        owed
+    }
+
+    fn fail(&mut self, id: RequestId) {
+        self.tally.failed += u64::from(self.answer(id, b"-ERR failed\r\n"));
     }
 
     fn forget(&mut self, id: RequestId) {
@@ -499,9 +580,9 @@
                     _ => write!(rest, "-BUSY {}\r\n", pause.div_ceil(1000)),
                 };
                 let left = rest.len();
-                self.answer(id, &text[..40 - left]);
+                self.tally.refused += u64::from(self.answer(id, &text[..40 - left]));
             }
-            Action::Fail(id) => self.answer(id, b"-ERR failed\r\n"),
+            Action::Fail(id) => self.fail(id),
             Action::Cancel { id, attempt } => self.abandon(id, attempt, |_| Outcome::Cancelled),
             Action::SetTimer { delay, token } => {
                 self.timers.set(self.now.saturating_add(delay), Due::Module(token));
@@ -517,7 +598,7 @@
             Action::Watch(_) => {}
             Action::FetchRoster => self.watch.fetch_whole(),
             Action::Count { name, delta, lifetime } => self.count(name, delta, lifetime),
-            Action::Log(text) => crate::log(&text),
+            Action::Log(text) => tracing::info!("{text}"),
         }
     }
 
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -4,9 +4,11 @@
 mod clients;
 mod clock;
 mod config;
+mod control;
 mod counter;
 mod discovery;
 mod ingress;
+mod logging;
 mod peers;
 mod reload;
 mod requests;
@@ -16,15 +18,9 @@
 
 use clap::Parser;
 use config::{Files, Told};
-use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Writes a line to the log. An ingress whose log cannot be written goes on.
-pub fn log(text: &str) {
-    let _ = writeln!(std::io::stderr(), "wrenfork: {text}");
-}
-
 /// The ingress. Without arguments it runs from the platform's file, which LB_CONFIG names.
 #[derive(Parser)]
 #[command(name = "wrenfork", version)]
@@ -41,26 +37,43 @@
     /// The sidecar's name, where the application has several
     #[arg(long, value_name = "NAME", requires = "app")]
     sidecar: Option<String>,
+    /// The socket for plan and apply; the application's file says it for a sidecar
+    #[arg(long, value_name = "PATH")]
+    control: Option<PathBuf>,
+    /// The folder for what must survive a crash; the application's file says it for a sidecar
+    #[arg(long, value_name = "DIR")]
+    state: Option<PathBuf>,
+    /// The log's form
+    #[arg(long, value_enum, default_value_t)]
+    log: logging::Form,
+    /// What is logged: what goes wrong, what happens besides, or more
+    #[arg(long, value_enum, default_value_t)]
+    log_level: logging::Level,
 }
 
 fn run(arguments: Arguments) -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-    let Arguments { app, site, fleet, sidecar } = arguments;
+    let Arguments { app, site, fleet, sidecar, control, state, .. } = arguments;
     let told = match app {
         Some(app) => Told::Sidecar(Files { app, site, fleet, sidecar }),
         None => Told::Platform(var("LB_CONFIG").ok_or("LB_CONFIG is not set")?),
     };
     // From here on no signal ends the process: one that comes while it starts is taken up by the loop.
     let signals = ingress::signals()?;
-    let config = told.read(var)?;
-    ingress::Ingress::start(config, reload::Reload::new(told), signals)?.run()
+    let mut config = told.read(var)?;
+    config.control.socket = control.or(config.control.socket);
+    config.control.state = state.or(config.control.state);
+    let kept = control::open(&mut config)?;
+    ingress::Ingress::start(config, kept, reload::Reload::new(told), signals)?.run()
 }
 
 fn main() -> ExitCode {
-    match run(Arguments::parse()) {
+    let arguments = Arguments::parse();
+    logging::start(arguments.log, arguments.log_level);
+    match run(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            log(&message);
+            tracing::error!("{message}");
             ExitCode::FAILURE
         }
     }
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -35,13 +35,13 @@
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty() && name != "LB_DISCOVERY");
         match self.told.read(var) {
             Ok(config) => {
-                crate::log(&format!("reload: discovery at {}", config.discovery));
+                tracing::info!("reload: discovery at {}", config.enforced.discovery);
                 self.pause = None;
-                Ok(config.discovery)
+                Ok(config.enforced.discovery)
             }
             Err(why) => {
                 if !std::mem::replace(&mut self.failed, true) {
-                    crate::log(&format!("reload: {why}; going on as before, and trying again"));
+                    tracing::warn!("reload: {why}; going on as before, and trying again");
                 }
                 (self.next, self.pause) = (now + pause, Some((pause * 2).min(PAUSES.1)));
                 Err(Some(self.next))
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// At most so many from now on.
+    pub fn allow(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Whether a call can be taken in.
     pub fn place(&self, call: &Call) -> Place {
         // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -37,10 +37,15 @@
         Shutdown { last_answer, last_at: Micros::MAX, begun: false, looked: false, closing_since: None }
     }
 
+    /// A class has a deadline as long as this; what is open may still have a longer one.
+    pub fn longest(&mut self, longest: Micros) {
+        self.last_answer = self.last_answer.max(longest.min(LONGEST_DEADLINE) + LAST_ANSWER);
+    }
+
     /// Told to stop, perhaps not for the first time.
     pub fn begin(&mut self, now: Micros, timers: &mut Timers) {
         if !std::mem::replace(&mut self.begun, true) {
-            crate::log("stopping: answering what has been taken");
+            tracing::info!("stopping: answering what has been taken");
             self.last_at = now + self.last_answer;
             timers.set(now + STILL_ACCEPTING, Due::Close);
             timers.set(self.last_at, Due::Last);
--- a/crates/ingress/tests/sidecar.rs
+++ b/crates/ingress/tests/sidecar.rs
@@ -133,6 +133,10 @@
         let text = text
             .replace("127.0.0.1:7946", &place().to_string())
             .replace("127.0.0.1:7947", &place().to_string());
+        let own = tempfile::tempdir().unwrap();
+        let text = text
+            .replace("/run/desk", &own.path().display().to_string())
+            .replace("/var/lib/desk", &own.path().join("state").display().to_string());
         let folder = Folder::new(&text, &[]);
         folder.write("fleet.json", &good("fleet.json"));
         let mut ingress = folder.start(at, if two { "--sidecar desk-1" } else { "" });
--- /dev/null
+++ b/crates/keeper/src/fault.rs
@@ -0,0 +1,52 @@
+//! Points at which a test has the process end as by a crash. `WRENFORK_FAULT=decide.written` ends it the first time that it
+//! passes there, `decide.written:2` the second time. Without the variable nothing is looked at again.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+/// The variable's name.
+pub const VARIABLE: &str = "WRENFORK_FAULT";
+
+/// Every point of an ingress's side, in the order in which an ask passes them.
+pub const POINTS: [&str; 12] = [
+    "prepare.heard",
+    "prepare.unwritten",
+    "prepare.written",
+    "prepare.unanswered",
+    "prepare.answered",
+    "decide.heard",
+    "decide.unwritten",
+    "decide.written",
+    "decide.switched",
+    "decide.unanswered",
+    "decide.answered",
+    "fence.written",
+];
+
+/// The point that is set, if any.
+#[derive(Clone, Debug, Default)]
+pub struct Faults(Option<(String, Arc<AtomicU32>)>);
+
+impl Faults {
+    /// What the environment says.
+    pub fn told() -> Faults {
+        let told = std::env::var(VARIABLE).ok().filter(|v| !v.is_empty());
+        Faults(told.map(|text| {
+            let (point, times) = text.split_once(':').unwrap_or((&text, "1"));
+            (point.to_string(), Arc::new(AtomicU32::new(times.parse().unwrap_or(1))))
+        }))
+    }
+
+    /// Whether a point is set.
+    pub fn any(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// Passes a point; ends the process there if it is set.
+    pub fn pass(&self, of: &str, step: &str) {
+        let Some((point, left)) = &self.0 else { return };
+        if point.split_once('.') == Some((of, step)) && left.fetch_sub(1, Ordering::SeqCst) == 1 {
+            std::process::abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/ledger.rs
@@ -0,0 +1,233 @@
+//! What an ingress must not forget: its [`Memory`], the generations that it enforced before, and a record of what was planned
+//! and done. On a folder, where there is one; else for as long as the process lives.
+
+use std::collections::VecDeque;
+use std::path::Path;
+use wrenfork_control::participant::Memory;
+use wrenfork_control::protocol::Record;
+use wrenfork_control::state::{Generation, State};
+use wrenfork_store::{Batch, Kind, Store};
+
+/// Generations that are kept to be gone back to, on a disk and in memory.
+const MOST_PAST: usize = 16;
+const MOST_PAST_IN_MEMORY: usize = 4;
+/// Records that are kept.
+const MOST_RECORDS: usize = 1_000;
+
+const MEMORY: &str = "memory";
+
+fn past_name(number: u64) -> String {
+    format!("past/{number:020}")
+}
+
+fn record_name(number: u64) -> String {
+    format!("{number:020}")
+}
+
+/// What is kept.
+#[derive(Debug)]
+pub struct Ledger {
+    store: Option<Store>,
+    closed: bool,
+    memory: Memory,
+    /// Without a store: generations and records, the oldest first.
+    past: VecDeque<(Generation, State)>,
+    records: VecDeque<Record>,
+    /// The numbers of the records in the store.
+    numbers: std::ops::Range<u64>,
+}
+
+impl Ledger {
+    /// Opens a folder's, or begins one in memory. `first` is what is enforced where nothing was kept.
+    ///
+    /// # Errors
+    ///
+    /// Where the folder can't be used; see [`wrenfork_store::StoreError`].
+    pub fn open(folder: Option<&Path>, first: impl FnOnce() -> Memory) -> Result<Ledger, String> {
+        let told = |e: wrenfork_store::StoreError| format!("state: {e}");
+        let store = folder.map(Store::open).transpose().map_err(told)?;
+        let kept = match &store {
+            Some(store) => store.get(Kind::Control, MEMORY).map_err(told)?,
+            None => None,
+        };
+        let last = match &store {
+            Some(store) => store.list(Kind::Audit, MOST_RECORDS).map_err(told)?,
+            None => Vec::new(),
+        };
+        let number = |row: Option<&(String, Vec<u8>)>| row.and_then(|r| r.0.parse::<u64>().ok());
+        let numbers = number(last.first()).unwrap_or(0)..number(last.last()).map_or(0, |n| n + 1);
+        let (past, records) = (VecDeque::new(), VecDeque::new());
+        let mut ledger = Ledger { store, closed: false, memory: Memory::default(), past, records, numbers };
+        match kept {
+            Some(text) => {
+                ledger.memory = serde_json::from_slice(&text)
+                    .map_err(|e| format!("state: what is kept can't be read: {e}"))?;
+                if ledger.memory.state.digest() != ledger.memory.enforced.digest {
+                    return Err("state: what is kept does not have its own digest".into());
+                }
+            }
+            None => {
+                let memory = first();
+                ledger.keep(&memory, true, None)?;
+            }
+        }
+        Ok(ledger)
+    }
+
+    /// What is remembered.
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
+    /// Keeps all of it, with the new generation where there is one, and a record; all or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk refuses: nothing has changed then.
+    pub fn keep(&mut self, memory: &Memory, new: bool, record: Option<&Record>) -> Result<(), String> {
+        if self.closed {
+            return Err("it is stopping".into());
+        }
+        if let Some(store) = &self.store {
+            let text = serde_json::to_vec(memory).map_err(|e| e.to_string())?;
+            let mut batch = Batch::new().put(Kind::Control, MEMORY, &text);
+            if new {
+                let text =
+                    serde_json::to_vec(&(&memory.enforced, &memory.state)).map_err(|e| e.to_string())?;
+                batch = batch.put(Kind::Control, &past_name(memory.enforced.number), &text);
+                let kept = store.names(Kind::Control).map_err(|e| e.to_string())?;
+                let past: Vec<&String> = kept.iter().filter(|k| k.starts_with("past/")).collect();
+                for old in past.iter().take((past.len() + 1).saturating_sub(MOST_PAST)) {
+                    batch = batch.delete(Kind::Control, old);
+                }
+            }
+            if let Some(record) = record {
+                batch = self.with(batch, record)?;
+            }
+            store.commit(&batch).map_err(|e| e.to_string())?;
+        } else if new {
+            self.past.push_back((memory.enforced.clone(), memory.state.clone()));
+            let surplus = self.past.len().saturating_sub(MOST_PAST_IN_MEMORY);
+            self.past.drain(..surplus);
+        }
+        if let Some(record) = record {
+            self.noted(record);
+        }
+        self.memory = memory.clone();
+        Ok(())
+    }
+
+    fn with(&self, batch: Batch, record: &Record) -> Result<Batch, String> {
+        let text = serde_json::to_vec(record).map_err(|e| e.to_string())?;
+        let mut batch = batch.put(Kind::Audit, &record_name(self.numbers.end), &text);
+        if self.numbers.end - self.numbers.start >= MOST_RECORDS as u64 {
+            batch = batch.delete(Kind::Audit, &record_name(self.numbers.start));
+        }
+        Ok(batch)
+    }
+
+    fn noted(&mut self, record: &Record) {
+        if self.store.is_some() {
+            self.numbers.end += 1;
+            self.numbers.start = self.numbers.start.max(self.numbers.end.saturating_sub(MOST_RECORDS as u64));
+        } else {
+            self.records.push_back(record.clone());
+            let surplus = self.records.len().saturating_sub(MOST_RECORDS);
+            self.records.drain(..surplus);
+        }
+    }
+
+    /// Keeps a record.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk refuses.
+    pub fn note(&mut self, record: &Record) -> Result<(), String> {
+        if self.closed {
+            return Err("it is stopping".into());
+        }
+        if let Some(store) = &self.store {
+            store.commit(&self.with(Batch::new(), record)?).map_err(|e| e.to_string())?;
+        }
+        self.noted(record);
+        Ok(())
+    }
+
+    /// A generation that was enforced here.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk fails.
+    pub fn past(&self, number: u64) -> Result<Option<(Generation, State)>, String> {
+        let Some(store) = &self.store else {
+            return Ok(self.past.iter().find(|p| p.0.number == number).cloned());
+        };
+        let text = store.get(Kind::Control, &past_name(number)).map_err(|e| e.to_string())?;
+        text.map(|t| serde_json::from_slice(&t).map_err(|e| e.to_string())).transpose()
+    }
+
+    /// The last records, the oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk fails.
+    pub fn records(&self, most: usize) -> Result<Vec<Record>, String> {
+        let Some(store) = &self.store else {
+            let skip = self.records.len().saturating_sub(most);
+            return Ok(self.records.iter().skip(skip).cloned().collect());
+        };
+        let rows = store.list(Kind::Audit, most.min(MOST_RECORDS)).map_err(|e| e.to_string())?;
+        rows.into_iter().map(|(_, t)| serde_json::from_slice(&t).map_err(|e| e.to_string())).collect()
+    }
+
+    /// Closes the store: a later start need not mend it.
+    pub fn close(&mut self) {
+        self.closed = true;
+        self.store = None;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn state(value: &str) -> State {
+        State([("quota".to_string(), value.to_string())].into())
+    }
+
+    /// Guards against a generation, a record or a memory that is lost with a restart, and against a folder that grows.
+    #[test]
+    fn generations_and_records_outlive_a_restart_and_stay_bounded() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut ledger = Ledger::open(Some(folder.path()), || Memory::first(1, state("1"))).unwrap();
+        for n in 2..40 {
+            let record = Record { what: "made".into(), generation: n, ..Record::default() };
+            ledger.keep(&Memory::first(n, state(&n.to_string())), true, Some(&record)).unwrap();
+        }
+        for _ in 0..MOST_RECORDS {
+            ledger.note(&Record { what: "planned".into(), ..Record::default() }).unwrap();
+        }
+        ledger.close();
+        assert!(
+            ledger.note(&Record::default()).is_err() && ledger.keep(&Memory::default(), true, None).is_err()
+        );
+        drop(ledger);
+        let ledger = Ledger::open(Some(folder.path()), || unreachable!("it is kept")).unwrap();
+        assert_eq!(ledger.memory().enforced.number, 39);
+        assert_eq!(ledger.past(39).unwrap().unwrap().1, state("39"));
+        assert_eq!(ledger.past(39 - MOST_PAST as u64 + 1).unwrap().unwrap().1, state("24"));
+        assert_eq!(ledger.past(23).unwrap(), None);
+        assert_eq!(ledger.records(usize::MAX).unwrap().len(), MOST_RECORDS);
+        assert!(ledger.records(3).unwrap().iter().all(|r| r.what == "planned"));
+    }
+
+    #[test]
+    fn without_a_folder_the_last_ones_are_kept_in_memory() {
+        let mut ledger = Ledger::open(None, || Memory::first(1, state("1"))).unwrap();
+        for n in 2..10 {
+            ledger.keep(&Memory::first(n, state(&n.to_string())), true, None).unwrap();
+        }
+        assert_eq!(ledger.past(9).unwrap().unwrap().1, state("9"));
+        assert_eq!(ledger.past(5).unwrap(), None);
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -208,6 +208,21 @@
         Ok(found.map(|v| v.value().to_vec()))
     }
 
+    /// The names of all records of a kind, in their order.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk fails.
+    pub fn names(&self, kind: Kind) -> Result<Vec<String>, StoreError> {
+        let read = self.database.begin_read().map_err(disk)?;
+        let table = match read.open_table(kind.table()) {
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(Vec::new()),
+            other => other.map_err(disk)?,
+        };
+        let names = table.iter().map_err(disk)?.map(|row| Ok(row.map_err(disk)?.0.value().to_string()));
+        names.collect()
+    }
+
     /// All records of a kind, by name; the last `most` of them.
     ///
     /// # Errors
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -76,6 +76,11 @@
     n.ok_or_else(|| format!("{what} is no number"))
 }
 
+/// Whether a name is meant; one that went has an empty name in its place.
+fn named(name: &str, text: &[u8]) -> bool {
+    !name.is_empty() && name.as_bytes() == text
+}
+
 fn graphic(text: &[u8]) -> bool {
     !text.is_empty() && text.len() <= MOST_ID && text.iter().all(u8::is_ascii_graphic)
 }
@@ -144,10 +149,9 @@
         }
         let missing = |name: &str| format!("{name} is missing");
         let class = class.ok_or_else(|| missing("c"))?;
-        let class =
-            words.classes.iter().position(|c| c.0.as_bytes() == class).ok_or("the class is unknown")?;
+        let class = words.classes.iter().position(|c| named(&c.0, class)).ok_or("the class is unknown")?;
         let plan = plan.ok_or_else(|| missing("t"))?;
-        let plan = words.plans.iter().position(|p| p.as_bytes() == plan).ok_or("the plan is unknown")?;
+        let plan = words.plans.iter().position(|p| named(p, plan)).ok_or("the plan is unknown")?;
         let plan = own.map_or(plan, |((place, _), _)| usize::from(*place));
         if own.is_some_and(|(_, identity)| !identity.sends.get(class).copied().unwrap_or(false)) {
             return Err("the application may not send this class".into());
