--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -174,6 +174,7 @@
                 availability,
                 size: f32_at(row, 12),
                 started: u64_at(row, 16),
+                ..Listed::default()
             });
         }
         Ok(Event::Roster(kind, list))
@@ -201,6 +202,7 @@
                 units: f32_at(b, 30),
                 width: f32_at(b, 34),
                 first: f32_at(b, 38),
+                ..Request::default()
             }),
             30 => Event::Probed {
                 backend: backend_at(b, 3),
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -7,6 +7,7 @@
 use crate::values::{show_rate, show_time};
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
+use wrenfork_routes::MOST_TIERS;
 use wrenfork_routes::{Fault, PoolNo, Table, Traits};
 
 /// The least that an ingress works with.
@@ -365,6 +366,18 @@
             }
             _ => {}
         }
+        if let Some(pool) = &route.pool {
+            let order =
+                number(app, &pool.value).and_then(|p| table(app, site).order(p).ok()).unwrap_or_default();
+            let count = order.len() + usize::from(route.trial.is_some());
+            if count > MOST_TIERS {
+                let message = format!(
+                    "class \"{}\" goes over {count} pools, and {MOST_TIERS} is the most",
+                    class.value
+                );
+                found.push(a.wrong(Code::LongRoute, pool, message));
+            }
+        }
         if let (Some(pool), Some(trial)) = (&route.pool, &route.trial) {
             let order =
                 number(app, &pool.value).and_then(|p| table(app, site).order(p).ok()).unwrap_or_default();
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -143,6 +143,8 @@
         "The accounts' quotas, as far as their classes go to this pool, need more than its nodes serve at the site's `per-weight`. With a trial, nodes that are in both pools count for the trial alone.";
     GroupsMixed, "C309", Refused, "a keyed class sent to several groups",
         "Repeats of the class are dropped inside a hall or group only. A client that asks again may be sent to another pool, where the key is not known, and the request would run twice. Let all pools of the route lie in one group, or have the class not routed.";
+    LongRoute, "C310", Refused, "a route over too many pools",
+        "A request tries four pools at the most, the trial's among them: each further one is a place where it waits while its time runs out. Join pools that are alike, or take a fallback out.";
     CeilingTogether, "C401", Refused, "quotas that together exceed the site's ceiling",
         "Each application is within the ceiling, all together are not: on the day when all use what they were promised, everybody on that plan is slowed. Lower a quota or have the site raise the ceiling.";
     AccountTwice, "C402", Refused, "an account in two applications",
--- a/crates/config/src/enforced.rs
+++ b/crates/config/src/enforced.rs
@@ -9,6 +9,7 @@
 use crate::settings::Conf;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
+use wrenfork_routes::{Pool, PoolNo, Route, Selector, Table, Trial};
 
 /// Keys with their values.
 pub type Pairs = BTreeMap<String, String>;
@@ -49,6 +50,8 @@
     "connect_timeout_us",
     "keepalive_us",
 ];
+const POOL: [&str; 6] = ["name", "halls", "models", "groups", "nodes", "fallback"];
+const ROUTE: [&str; 3] = ["pool", "trial", "share"];
 const RULES: [&str; 7] = [
     "answer_slack_us",
     "drain_grace_us",
@@ -59,7 +62,7 @@
     "must_ask_in_us",
 ];
 /// The lists whose places belong to names.
-const LISTS: [&str; 2] = ["contracts", "grades"];
+const LISTS: [&str; 3] = ["contracts", "grades", "pools"];
 /// Classes have a byte for their place, and one that went keeps its own.
 const MOST_CLASSES: usize = 250;
 const MOST_PLANS: usize = 60_000;
@@ -68,10 +71,15 @@
 pub fn changeable(key: &str) -> bool {
     let parts: Vec<&str> = key.split('.').collect();
     match parts[..] {
-        ["discovery" | "sends"] | ["grades" | "contracts", "count"] | ["family_info", "most_units"] => true,
+        ["discovery" | "sends"]
+        | ["grades" | "contracts" | "pools", "count"]
+        | ["family_info", "most_units"] => true,
         ["accounts", id] => crate::values::account(id).is_ok(),
         ["grades", n, field] => n.parse::<u16>().is_ok() && CLASS.contains(&field),
         ["contracts", n, field] => n.parse::<u16>().is_ok() && PLAN.contains(&field),
+        ["pools", n, field] => n.parse::<u8>().is_ok() && POOL.contains(&field),
+        // A class's name may have dots of its own.
+        ["routes", _, .., field] => ROUTE.contains(&field),
         ["limits", field] => LIMITS.contains(&field),
         ["rules", field] => RULES.contains(&field),
         _ => false,
@@ -143,9 +151,94 @@
         Some((a.id.value, list.list.get(*place)?.0.as_str()))
     });
     identify(&mut split.state, accounts, app.sends.iter().map(|c| c.value.as_str()));
+    route(&mut split.state, app);
     Ok((told, split))
 }
 
+/// An application's pools and routes.
+fn route(state: &mut Pairs, app: &Application) {
+    if app.pools.is_empty() {
+        return;
+    }
+    state.insert("pools.count".into(), app.pools.len().to_string());
+    for (n, pool) in app.pools.iter().enumerate() {
+        let groups: Vec<String> = pool.selector.groups.iter().map(u64::to_string).collect();
+        let fields = [
+            ("name", pool.name.value.clone()),
+            ("halls", pool.selector.halls.join(",")),
+            ("models", pool.selector.models.join(",")),
+            ("groups", groups.join(",")),
+            ("nodes", pool.selector.nodes.join(",")),
+            ("fallback", pool.fallback.as_ref().map_or(String::new(), |f| f.value.clone())),
+        ];
+        let given = fields.into_iter().filter(|(_, value)| !value.is_empty());
+        state.extend(given.map(|(key, value)| (format!("pools.{n}.{key}"), value)));
+    }
+    for route in &app.routes {
+        let class = &route.class.value;
+        let mut put = |key: &str, value: Option<String>| {
+            if let Some(value) = value {
+                state.insert(format!("routes.{class}.{key}"), value);
+            }
+        };
+        put("pool", route.pool.as_ref().map(|p| p.value.clone()));
+        put("trial", route.trial.as_ref().map(|p| p.value.clone()));
+        put("share", route.share.as_ref().map(|s| s.value.to_string()));
+    }
+}
+
+/// The pools and routes of a state, with the routes in the order of its classes, and the names of the pools.
+///
+/// # Errors
+///
+/// Names what leads nowhere or in a circle.
+pub fn table(state: &Pairs) -> Result<(Table, Vec<String>), String> {
+    let pool_names = names(state, "pools");
+    let number = |name: &str| {
+        let at = pool_names.iter().position(|n| !n.is_empty() && n == name);
+        at.and_then(|n| u8::try_from(n).ok()).map(PoolNo).ok_or_else(|| format!("there is no pool {name}"))
+    };
+    let field =
+        |list: &str, at: &str, key: &str| state.get(&format!("{list}.{at}.{key}")).map(String::as_str);
+    let words = |n: usize, key: &str| -> Vec<String> {
+        let text = field("pools", &n.to_string(), key).unwrap_or("");
+        text.split(',').filter(|w| !w.is_empty()).map(String::from).collect()
+    };
+    let mut table = Table::default();
+    for (n, name) in pool_names.iter().enumerate() {
+        let groups =
+            words(n, "groups").iter().map(|g| g.parse().map_err(|_| format!("{g} is no group"))).collect();
+        let groups: Result<Vec<u64>, String> = groups;
+        let selector = Selector {
+            halls: words(n, "halls"),
+            models: words(n, "models"),
+            groups: groups?,
+            nodes: words(n, "nodes"),
+        };
+        let fallback = field("pools", &n.to_string(), "fallback").filter(|_| !name.is_empty());
+        table.pools.push(Pool { selector, fallback: fallback.map(number).transpose()? });
+    }
+    for class in names(state, "grades") {
+        let Some(pool) = field("routes", &class, "pool").filter(|_| !class.is_empty()) else {
+            table.routes.push(None);
+            continue;
+        };
+        let trial = match (field("routes", &class, "trial"), field("routes", &class, "share")) {
+            (Some(trial), Some(share)) => {
+                let share = share.parse().ok().filter(|s: &f64| (0.0..=1.0).contains(s));
+                let share = share.ok_or_else(|| format!("routes.{class}.share is no share"))?;
+                Some(Trial { pool: number(trial)?, share })
+            }
+            _ => None,
+        };
+        table.routes.push(Some(Route { pool: number(pool)?, trial }));
+    }
+    match table.faults().first() {
+        Some(fault) => Err(format!("the pools can't be used: {fault:?}")),
+        None => Ok((table, pool_names)),
+    }
+}
+
 /// A sidecar's name among all of a site's.
 pub fn called(app: &Application, sidecar: &str) -> String {
     format!("{}/{sidecar}", app.called())
@@ -225,7 +318,12 @@
             from.insert(place, at);
         }
         let count = from.last_key_value().map_or(0, |(place, _)| place + 1);
-        if count > if list == "grades" { MOST_CLASSES } else { MOST_PLANS } {
+        let most = match list {
+            "grades" => MOST_CLASSES,
+            "pools" => wrenfork_routes::MOST_POOLS,
+            _ => MOST_PLANS,
+        };
+        if count > most {
             return Err(format!(
                 "{list} has no place left for a new name: a restart of all gives those that went free"
             ));
@@ -242,7 +340,9 @@
                 out.insert(format!("{list}.{place}.name"), String::new());
             }
         }
-        out.insert(format!("{list}.count"), count.to_string());
+        if wanted.contains_key(&format!("{list}.count")) {
+            out.insert(format!("{list}.count"), count.to_string());
+        }
     }
     Ok(out)
 }
@@ -256,6 +356,8 @@
     let word = match list {
         "contracts" => "plan",
         "grades" => "class",
+        "pools" => "pool",
+        "routes" => return format!("route {place} {field}"),
         _ => return key.to_string(),
     };
     let at = format!("{list}.{place}.name");
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -169,6 +169,7 @@
             },
             meter_period: self.micros("family_info.meter_period_us")?,
             post_paid: self.flag("family_info.post_paid")?,
+            pools: 0,
         })
     }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod change;
 mod config;
 mod fleet;
+mod route;
 mod style;
 
 use clap::{Parser, Subcommand};
@@ -24,6 +25,9 @@
     /// The files of sites, applications and fleets: written, checked, explained and rendered
     #[command(subcommand)]
     Config(config::Verb),
+    /// Where requests go by an application's pools and routes
+    #[command(subcommand)]
+    Route(route::Verb),
     /// Shows what the files of a folder would change at its ingresses, and writes that as a plan
     Plan(change::plan::Options),
     /// Makes a planned change at every ingress or at none, or ends one that was cut off
@@ -38,6 +42,7 @@
     match Cli::parse().verb {
         Verb::Fleet(verb) => fleet::main(verb),
         Verb::Config(verb) => config::main(verb),
+        Verb::Route(verb) => route::main(verb),
         Verb::Plan(options) => change::plan::main(&options),
         Verb::Apply(options) => change::apply::main(&options),
         Verb::Rollback(options) => change::rollback::main(&options),
--- /dev/null
+++ b/crates/ctl/src/route/mod.rs
@@ -0,0 +1,181 @@
+//! `wrenctl route`: where a request would go, told to people or held against what they expect.
+
+mod cases;
+
+use crate::config::{print, Format};
+use crate::style;
+use anstream::println;
+use clap::Subcommand;
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use wrenfork_config::check::table;
+use wrenfork_config::model::{Application, Fleet, Node, Status};
+use wrenfork_config::set::Set;
+use wrenfork_routes::Traits;
+
+/// What could not be done or read.
+const FAILED: u8 = 2;
+
+#[derive(Subcommand)]
+pub enum Verb {
+    /// Tells where a request of an account and class would go, in which order, and why not elsewhere
+    Explain {
+        /// The site, its applications, and a fleet snapshot if nodes are to be named
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// The account, as 16 hex digits
+        #[arg(long, value_name = "HEX")]
+        account: String,
+        /// The class
+        #[arg(long, value_name = "NAME")]
+        class: String,
+        /// For people or for scripts
+        #[arg(long, value_enum, default_value_t)]
+        format: Format,
+    },
+    /// Holds routes against a file of expectations: exit 0 all hold, 1 some do not
+    Test {
+        /// The site, its applications, and a fleet snapshot if nodes are expected
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// The expectations
+        #[arg(long, value_name = "FILE")]
+        cases: PathBuf,
+    },
+}
+
+/// A pool that a request may go to.
+struct Tier<'a> {
+    name: &'a str,
+    /// On trial there, at home, or fallen back.
+    why: &'static str,
+    /// Its nodes.
+    nodes: Vec<&'a Node>,
+}
+
+/// Where a request goes.
+struct Way<'a> {
+    application: &'a str,
+    /// None where any node will do.
+    tiers: Option<Vec<Tier<'a>>>,
+}
+
+fn nodes<'a>(app: &Application, fleet: Option<&'a Fleet>, pool: Option<usize>) -> Vec<&'a Node> {
+    let all = fleet.map_or(&[][..], |f| &f.nodes).iter();
+    let takes = |n: &&Node| {
+        let (name, hall, model) = (&*n.name.value, &*n.hall.value, &*n.model);
+        pool.is_none_or(|p| app.pools[p].selector.takes(&Traits { name, hall, model, group: n.group }))
+    };
+    all.filter(takes).collect()
+}
+
+/// Finds where a request goes.
+fn way<'a>(set: &'a Set, account: &str, class: &str) -> Result<Way<'a>, String> {
+    let site = set.site().ok_or("there is no site's file among these")?.content;
+    let id = wrenfork_config::values::account(account)?;
+    let apps = set.applications();
+    let app = apps.iter().map(|a| a.content).find(|a| a.accounts.iter().any(|x| x.id.value == id));
+    let app = app
+        .ok_or_else(|| format!("account {account} is no application's here: its requests are turned away"))?;
+    let place = site.classes.iter().position(|c| c.name.value == class);
+    let place = place.ok_or_else(|| format!("the site has no class \"{class}\""))?;
+    if app.sends.iter().all(|c| c.value != class) {
+        return Err(format!("application \"{}\" may not send \"{class}\": it is turned away", app.called()));
+    }
+    let (table, fleet) = (table(app, site), set.fleet().map(|f| f.content));
+    let trial = table.on_trial(place, id);
+    let tiers = table.tiers(place, id).map(|sets| {
+        let of = |(n, set): (usize, &u64)| {
+            let pool = set.trailing_zeros() as usize;
+            let why = match (trial, n) {
+                (true, 0) => "on trial",
+                (true, 1) | (false, 0) => "its own",
+                _ => "fallback",
+            };
+            Tier { name: &app.pools[pool].name.value, why, nodes: nodes(app, fleet, Some(pool)) }
+        };
+        sets.iter().enumerate().map(of).collect()
+    });
+    Ok(Way { application: app.called(), tiers })
+}
+
+fn status(node: &Node) -> &'static str {
+    match node.status {
+        Status::Up => "up",
+        Status::Draining => "draining",
+        Status::Removed => "gone",
+    }
+}
+
+fn failed(why: impl std::fmt::Display) -> ExitCode {
+    anstream::eprintln!("{} {why}", style::bad("error:"));
+    ExitCode::from(FAILED)
+}
+
+pub fn main(verb: Verb) -> ExitCode {
+    let (Verb::Explain { files, .. } | Verb::Test { files, .. }) = &verb;
+    let set = Set::read(files);
+    if set.refused() {
+        return print::text(&set);
+    }
+    match verb {
+        Verb::Explain { account, class, format, .. } => match way(&set, &account, &class) {
+            Ok(found) => {
+                match format {
+                    Format::Text => text(&set, &found, &class),
+                    Format::Json => println!("{}", json(&found)),
+                }
+                ExitCode::SUCCESS
+            }
+            Err(why) => failed(why),
+        },
+        Verb::Test { cases, .. } => cases::main(&set, &cases),
+    }
+}
+
+fn json(way: &Way) -> String {
+    let tier = |t: &Tier| {
+        let nodes = t.nodes.iter().map(|n| json!({"name": n.name.value, "status": status(n)}));
+        json!({"pool": t.name, "why": t.why, "nodes": nodes.collect::<Vec<_>>()})
+    };
+    let tiers = way.tiers.as_ref().map(|list| list.iter().map(tier).collect::<Vec<_>>());
+    let whole = json!({"application": way.application, "tiers": tiers});
+    serde_json::to_string_pretty(&whole).unwrap_or_default()
+}
+
+fn text(set: &Set, way: &Way, class: &str) {
+    let Some(tiers) = &way.tiers else {
+        println!("{} {class} has no route: any node takes it", style::head(way.application));
+        return;
+    };
+    println!("{} {class}", style::head(way.application));
+    for (n, tier) in tiers.iter().enumerate() {
+        println!("  {}. pool {} ({})", n + 1, style::head(tier.name), tier.why);
+        for node in &tier.nodes {
+            let state = match node.status {
+                Status::Up => style::good("up"),
+                _ => style::doubtful(format!("{}, takes nothing new", status(node))),
+            };
+            println!("       {} {state}", node.name.value);
+        }
+        if tier.nodes.is_empty() && set.fleet().is_some() {
+            println!("       {}", style::bad("no node is of it"));
+        }
+        if tier.nodes.iter().all(|n| n.status != Status::Up) && set.fleet().is_some() {
+            println!("       {}", style::doubtful("passed over: nobody of it takes work"));
+        }
+    }
+    println!("A later pool is gone to where those before have nobody, fail as a whole or are at their bound, as far as it has");
+    println!("room to spare; one that may have run goes on only where its class allows it.");
+    let others: Vec<&str> = set
+        .fleet()
+        .map_or(Vec::new(), |f| f.content.nodes.iter().collect())
+        .into_iter()
+        .filter(|n: &&Node| tiers.iter().all(|t| t.nodes.iter().all(|own| own.name.value != n.name.value)))
+        .map(|n| n.name.value.as_str())
+        .collect();
+    if !others.is_empty() {
+        println!("never: {}, in none of these pools", others.join(", "));
+    }
+}
--- a/crates/ctl/tests/changes.rs
+++ b/crates/ctl/tests/changes.rs
@@ -605,3 +605,34 @@
     assert_eq!((site.status(0).0.number, site.status(1).0.number), (3, 1));
     assert_eq!(site.status(0).0.digest, site.status(1).0.digest);
 }
+
+/// A route is changed like all else: from one answer to the next requests go to the other pool.
+#[test]
+fn a_route_that_changes_sends_requests_to_other_nodes() {
+    let (other, mut site) = (Backend::start(serve), Site::new(1, true, Backend::start(serve)));
+    let nodes = [site.backend.entry("s-0001", "up"), other.entry("s-0002", "up")];
+    fs::write(site.path("elsewhere/fleet.json"), list(1, true, &nodes)).unwrap();
+    let pools = |pool: &str| {
+        format!(
+            "quota = \"9/s\"\nburst = 60\n\n[[pool]]\nname = \"one\"\nnodes = [\"s-0001\"]\n\n[[pool]]\nname = \"two\"\n\
+             nodes = [\"s-0002\"]\n\n[[route]]\nclass = \"quote\"\npool = \"{pool}\"\n\n[[route]]\n\
+             class = \"save-scenario\"\npool = \"{}\"\n",
+            if pool == "one" { "two" } else { "one" }
+        )
+    };
+    site.want_more(&[OLD], &pools("one"));
+    site.start(0, "");
+    let mut client = Client::connect(site.at[0]);
+    let mut ask = |n: usize| {
+        let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
+        assert!(client.ask(&command(&["CALL.GET", OLD, &format!("r{n}"), options])).starts_with("value"));
+    };
+    (0..5).for_each(&mut ask);
+    assert_eq!((site.backend.count(), other.count()), (5, 0));
+    site.want_more(&[OLD], &pools("two"));
+    let output = site.run(&["plan", "files", "--out", "change.plan"]);
+    assert!(told(&output).contains("~ route quote pool: one to two"), "{}", told(&output));
+    assert_eq!(site.run(&["apply", "change.plan", "--yes"]).status.code(), Some(0));
+    (5..10).for_each(&mut ask);
+    assert_eq!((site.backend.count(), other.count()), (5, 5));
+}
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway. Its types stand in `src/interface.rs`, its records in `src/state.rs`.
-use crate::{gossip::*, interface::*, state::*};
+use crate::{gossip::*, interface::*, pools::Pool, state::*};
 use std::cmp::Reverse;
 
 const WAKE_TICKS: u64 = 5; // ticks between wake-ups, which look at deadlines and gossip; more saves CPU
@@ -15,9 +15,10 @@
 const CALM_CREEP: f64 = 0.01; // growth of the calm time by itself, in a second
 const LONG: f64 = 100.0; // answers in the mean whose least is the calm time: the least of a few is too low
 const ALERT_ON: f64 = 1.0; // pressure that raises an alert
-const ALERT_OFF: f64 = 0.75; // and that ends it: between them nothing moves
+pub(crate) const ALERT_OFF: f64 = 0.75; // and that ends it: between them nothing moves
 const PLACES: f64 = 4.0; // attempts out at a backend, by all gateways, to begin with: two cores, twice over
 const GROW: f64 = 1.05; // mean answer over the calm one up to which that bound, where it binds, may grow
+pub(crate) const SPILL: f64 = 0.7; // part of a pool's bound up to which it takes what others can't
 const AWAY: f64 = 0.05; // share turned away for want of a place that alerts while pressure is not low
 const PRESSURE_TAU: f64 = 1.0; // memory of the pressure in seconds: some dozen answers
 /// Memory of use in seconds: longer than pauses, shorter than shifts of weight.
@@ -130,7 +131,7 @@
             known_since: Some(now),
             usual,
             retries: RETRY_STORE,
-            places: PLACES,
+            pools: (0..=settings.pools.min(MOST_POOLS as u8)).map(|_| Pool::new(PLACES)).collect(),
             pace,
             period: if few { ((period * SECOND) as Micros).max(50_000) } else { 0 },
             shares,
@@ -185,10 +186,11 @@
             return self.refuse(req.id, 0, act);
         }
         let unseen = self.meet(&req);
-        if !self.ladder_passes(req.customer, plan, unseen) {
+        let open = Open { req, class: self.s.classes[class], arrived: self.now, ..Open::default() };
+        let rung = self.pools[self.goal(&open)].rung;
+        if !self.ladder_passes(req.customer, plan, unseen, rung) {
             return self.refuse(req.id, Micros::MAX, act);
         }
-        let open = Open { req, class: self.s.classes[class], arrived: self.now, ..Open::default() };
         let (now, may_wait) = (self.now, self.may_wait(&open, self.now));
         let (quota, ceiling) = self.wait_for_room(&req);
         let c = &self.customers[&req.customer];
@@ -221,9 +223,11 @@
         let (quota_wait, ceiling_wait) = self.wait_for_room(&req);
         let wait = quota_wait.into_iter().chain(ceiling_wait).reduce(f64::max);
         // The fuller the line, the fewer customers may join it; the same ones for an epoch, as on the ladder.
+        let o = &self.requests[&id];
+        let (at, room) = (self.line_of(o), self.room(o).iter().any(Option::is_some));
         let hold = self.hold(req.class, aim).max(1.0);
-        let line = CROWD * self.waiting.len() as f64 * self.pace / self.limit() / hold;
-        let full = self.out as f64 >= self.limit() && self.draw(req.customer) >= 1.0 - line;
+        let line = CROWD * self.pools[at].waiting.len() as f64 * self.pace / self.limit(at) / hold;
+        let full = !room && self.draw(req.customer) >= 1.0 - line;
         if wait.is_some() && !last {
             self.requests.entry(id).and_modify(|o| o.held = held);
             return;
@@ -232,19 +236,21 @@
         if wait.is_some() || full {
             // Red, or no place and none soon.
             let pause = wait.map_or(Micros::MAX, |w| (w * SECOND) as Micros);
-            self.turned_away += 0.05 * f64::from(u8::from(wait.is_none())) * (1.0 - self.turned_away);
+            let away = &mut self.pools[at].turned_away;
+            *away += 0.05 * f64::from(u8::from(wait.is_none())) * (1.0 - *away);
             self.requests.remove(&id);
             self.refuse(id, pause, act);
             return if held {
                 self.report(req.customer, false, act)
             }; // a home may have counted it
         }
-        self.turned_away -= 0.05 * self.turned_away;
+        let away = &mut self.pools[at].turned_away;
+        *away -= 0.05 * *away;
         self.charge(&req, 1.0);
         self.let_go(req.customer, id, held);
         let ask = !held && !self.customers[&req.customer].home;
         self.report(req.customer, ask, act);
-        self.waiting.push_back(id);
+        self.pools[at].waiting.push_back(id);
         self.dispatch(act);
         self.give_up(id, act);
     }
@@ -348,13 +354,13 @@
     /// Whether the rung lets this customer pass. Whom it cuts is fixed for an epoch, alike at all gateways:
     /// a coin for each request would let refused clients' retries in, too late to earn anything, until they
     /// fill the fleet and cause the next refusals. It hurts those cut for a whole epoch.
-    fn ladder_passes(&self, customer: CustomerId, plan: usize, green: bool) -> bool {
-        if self.rung == 0 || (green && self.rung < 2) {
+    fn ladder_passes(&self, customer: CustomerId, plan: usize, green: bool, rung: usize) -> bool {
+        if rung == 0 || (green && rung < 2) {
             return true;
         }
         let top = self.s.plans.iter().map(|p| p.price).fold(f64::MIN, f64::max);
         let differ = self.s.plans.iter().any(|p| p.price < top);
-        let share = if self.rung == LAST_RUNG && differ { 0.0 } else { AMBER[self.rung.min(3)] };
+        let share = if rung == LAST_RUNG && differ { 0.0 } else { AMBER[rung.min(3)] };
         (differ && self.s.plans[plan].price >= top) || self.draw(customer) < share
     }
 
@@ -365,29 +371,32 @@
     // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
 
     /// An answer by its time over what is wanted of its class, and over the class's time on calm servers.
-    fn feel(&mut self, pressure: f64, strain: f64) {
-        let keep = decay(self.pressure_at, self.now, PRESSURE_TAU).min(0.98);
-        self.pressure = self.pressure * keep + pressure.min(4.0) * (1.0 - keep);
-        self.strain = self.strain * keep + strain.min(10.0) * (1.0 - keep);
-        self.pressure_at = self.now;
+    fn feel(&mut self, at: usize, pressure: f64, strain: f64) {
+        let (now, limit, p) = (self.now, self.limit(at), &mut self.pools[at]);
+        let keep = decay(p.pressure_at, now, PRESSURE_TAU).min(0.98);
+        p.pressure = p.pressure * keep + pressure.min(4.0) * (1.0 - keep);
+        p.strain = p.strain * keep + strain.min(10.0) * (1.0 - keep);
+        p.pressure_at = now;
         // Back to where it began at any pressure short of an alert: else a bound once cut stays cut.
-        let fits = if self.places < PLACES { self.pressure < ALERT_OFF } else { self.strain < GROW };
-        if fits && self.out as f64 > self.limit() * 0.7 {
-            self.places *= 1.0 + 2.0 / self.limit().max(2.0).powi(2);
+        let fits = if p.places < PLACES { p.pressure < ALERT_OFF } else { p.strain < GROW };
+        if fits && f64::from(p.out) > limit * 0.7 {
+            p.places *= 1.0 + 2.0 / limit.max(2.0).powi(2);
         }
     }
 
     /// The bound on what this gateway has out: those left when backends fall must not inherit their load, nor
     /// the warm that of the cold, nor the quick that of the slow.
-    fn limit(&self) -> f64 {
-        (self.places * self.able / self.shares as f64).max(1.0)
+    pub(crate) fn limit(&self, at: usize) -> f64 {
+        (self.pools[at].places * self.pools[at].able / self.shares as f64).max(1.0)
     }
 
     /// Backends as many as the ready ones are worth; not at each wake-up, since it looks at all of them.
     fn count_able(&mut self) {
         self.able_at = self.now;
         let able = |p: &usize| self.warmth(self.backends.at(*p)).0.min(1.0 / self.backends.at(*p).slow);
-        self.able = self.order.iter().map(|p| able(p).min(1.0)).sum();
+        let of = |p: &Pool| p.order.iter().map(|p| able(p).min(1.0)).sum();
+        let sums: Vec<f64> = self.pools.iter().map(of).collect();
+        self.pools.iter_mut().zip(sums).for_each(|(p, sum)| p.able = sum);
     }
 
     /// How long a request may wait for a place: sent later, it would likely be answered too late.
@@ -396,40 +405,52 @@
         (aim - IN_TIME * self.usual[usize::from(class)].recent).clamp(0.0, aim * HOLD)
     }
 
-    fn step_alert(&mut self, act: &mut Vec<Action>) {
-        let (since, rung) = (self.now - self.rung_since, self.rung);
+    fn step_alert(&mut self, at: usize, act: &mut Vec<Action>) {
+        let (now, limit, p) = (self.now, self.limit(at), &mut self.pools[at]);
+        let (since, rung) = (now - p.rung_since, p.rung);
         // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
-        let refusing = self.pressure > ALERT_OFF && self.turned_away > AWAY;
-        if (self.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
-            self.rung += 1;
-        } else if self.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
-            self.rung -= 1;
-        }
-        if rung != self.rung {
-            self.rung_since = self.now;
-            let (now, p, limit, out) = (self.rung, self.pressure, self.limit(), self.out);
-            let text = format!("ladder: rung {rung} to {now}, pressure {p:.2}, limit {limit:.0}, out {out}");
+        let refusing = p.pressure > ALERT_OFF && p.turned_away > AWAY;
+        if (p.pressure > ALERT_ON || refusing) && since > RUNG_UP && rung < LAST_RUNG {
+            p.rung += 1;
+        } else if p.pressure < ALERT_OFF && since > RUNG_DOWN && rung > 0 {
+            p.rung -= 1;
+        }
+        if rung != p.rung {
+            p.rung_since = now;
+            let of = if at == 0 { String::new() } else { format!(" of pool {at}") };
+            let (up, pressure, out) = (p.rung, p.pressure, p.out);
+            let text = format!(
+                "ladder{of}: rung {rung} to {up}, pressure {pressure:.2}, limit {limit:.0}, out {out}"
+            );
             act.push(Action::Log(text));
         }
         // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
-        if self.pressure > ALERT_ON && self.now - self.limit_at > (PRESSURE_TAU * SECOND) as Micros {
-            self.places = (self.places * 0.85).max(PLACES / 6.0);
-            self.limit_at = self.now;
+        if p.pressure > ALERT_ON && now - p.limit_at > (PRESSURE_TAU * SECOND) as Micros {
+            p.places = (p.places * 0.85).max(PLACES / 6.0);
+            p.limit_at = now;
         }
     }
 
     // ---- 3. Choice of a backend ----
 
     fn dispatch(&mut self, act: &mut Vec<Action>) {
-        while let Some(id) = self.waiting.front().copied() {
-            let ready = self.requests.get(&id).is_some_and(|o| !o.done && o.out() == 0);
-            if ready && (self.out as f64 >= self.limit() || !self.send(id, act)) {
-                return;
+        for at in 0..self.pools.len() {
+            while let Some(id) = self.pools[at].waiting.front().copied() {
+                let ready = self.requests.get(&id).is_some_and(|o| !o.done && o.out() == 0);
+                if ready && !self.place(id, act) {
+                    break;
+                }
+                self.pools[at].waiting.pop_front();
             }
-            self.waiting.pop_front();
         }
     }
 
+    /// Sends a request through the best of its pools that has room and a backend for it; false if none has.
+    fn place(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+        let room = self.room(&self.requests[&id]);
+        room.into_iter().flatten().any(|at| self.send(id, at, act))
+    }
+
     /// How warm a backend is for sure, and whether this gateway alone may send it one more in the rule's
     /// window. Where its part is less than a request, it is drawn who may: one each would be a hundred.
     fn warmth(&self, b: &Backend) -> (f64, bool) {
@@ -441,15 +462,16 @@
         let span = rules.fall_time.max(1);
         let recent = b.cold_sends.iter().filter(|t| **t + span > self.now).count() as f64;
         let rate = self.sent_rate * decay(self.sent_at, self.now, RATE_TAU);
-        let fair = rate * b.size / self.ready_size.max(b.size) * span as f64 / SECOND;
+        let all = self.pools[0].ready_size.max(b.size);
+        let fair = rate * b.size / all * span as f64 / SECOND;
         let lot = mix(b.listed.backend.0 ^ (self.now / span) << 48 ^ u64::from(self.s.me.0) << 32);
         let budget = rules.fall_factor * warmth * fair * COLD_MARGIN;
         (warmth, recent + lot < budget.max(1.0 / self.shares as f64))
     }
 
-    fn choose(&mut self, id: RequestId) -> Option<BackendId> {
+    fn choose(&mut self, id: RequestId, at: usize) -> Option<BackendId> {
         self.rng = self.rng.wrapping_add(1);
-        let (noise, now) = (mix(self.rng), self.now);
+        let (noise, now, pool) = (mix(self.rng), self.now, &self.pools[at]);
         let o = &self.requests[&id];
         let k = usize::from(o.req.class);
         let bound = match (o.class.repeat, o.may_have_run()) {
@@ -459,7 +481,7 @@
         };
         // Two drawn by their weight, and more the more of the load is its own: what many see as the
         // least would be the least for all of them at once.
-        let (all, shares) = (self.order.len(), self.shares as usize);
+        let (all, shares) = (pool.order.len(), self.shares as usize);
         let want = (2 + 3 * all / shares).min(LOOK);
         // Always among the same few: connections seldom used are closed, and made anew at each request.
         let n = if want < all && bound.is_none() { all.min(SUBSET.max(COVER * all / shares)) } else { all };
@@ -472,7 +494,7 @@
             (4 * n).min(16 * want)
         };
         for step in 0..steps {
-            let b = self.backends.at(self.order[((noise * n as f64) as usize + step) % n]);
+            let b = self.backends.at(pool.order[((noise * n as f64) as usize + step) % n]);
             let bid = b.listed.backend;
             let fits = bound.is_none_or(|(group, l): (Group, Listed)| {
                 let (zone, cell) = (b.listed.zone == l.zone, b.listed.cell == l.cell);
@@ -481,7 +503,7 @@
             let tried = o.attempts.iter().any(|a| a.to.backend == bid);
             let (warmth, may) = self.warmth(b);
             // Its slowness was learned while it was cold: by both, it would count twice.
-            let weight = b.size * warmth.sqrt() / b.slow * all as f64 / self.ready_size / 2.0;
+            let weight = b.size * warmth.sqrt() / b.slow * all as f64 / pool.ready_size / 2.0;
             if !fits || !may || (want < all && mix(self.rng ^ (step as u64) << 40) > weight) {
                 continue;
             }
@@ -507,9 +529,9 @@
         best.1
     }
 
-    /// Sends a request's next attempt; false if no backend may take it now.
-    fn send(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
-        let (now, Some(bid)) = (self.now, self.choose(id)) else { return false };
+    /// Sends a request's next attempt through a pool; false if no backend of it may take it now.
+    fn send(&mut self, id: RequestId, at: usize, act: &mut Vec<Action>) -> bool {
+        let (now, Some(bid)) = (self.now, self.choose(id, at)) else { return false };
         let Some(o) = self.requests.get_mut(&id) else { return false };
         if o.attempts.is_empty() {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
@@ -517,11 +539,12 @@
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
         let patience = o.patience();
         self.checks.push(Reverse((now + (patience * SILENCE) as Micros, id)));
-        self.out += 1;
+        self.pools[at].out += 1;
         self.sent_rate = self.sent_rate * decay(self.sent_at, now, RATE_TAU) + 1.0 / RATE_TAU;
         self.sent_at = now;
         if let Some(b) = self.backends.get_mut(&bid) {
-            o.attempts.push(Attempt { to: b.listed, sent: now, out: true, cancelled: false, void: false });
+            let (to, sent) = (b.listed, now);
+            o.attempts.push(Attempt { to, sent, out: true, cancelled: false, pool: at, void: false });
             b.out += 1;
             if b.listed.started > 0 && now < b.listed.started + self.s.rules.cold_time {
                 b.cold_sends.retain(|t| *t + self.s.rules.fall_time > now);
@@ -534,10 +557,13 @@
 
     // ---- 4. Answers: health, further attempts, the final answer ----
 
-    /// An answer's lesson; one that a peer had (`own` false) counts, but rests nobody.
-    fn learn(&mut self, bid: BackendId, class: usize, took: Option<f64>, own: bool) {
-        let (now, aim) = (self.now, self.s.classes[class].aim.max(1) as f64);
+    /// An answer's lesson, of an attempt `through` a pool; one that a peer had counts, but rests nobody.
+    fn learn(&mut self, bid: BackendId, class: usize, took: Option<f64>, through: Option<usize>) {
+        let (now, aim, own) = (self.now, self.s.classes[class].aim.max(1) as f64, through.is_some());
         let Some(b) = self.backends.get_mut(&bid) else { return };
+        if let Some(at) = through {
+            self.pools[at].note(took.is_none(), now);
+        }
         b.troubled |= took.is_none();
         b.health[class].note(now, took.is_none(), if own { 0.15 } else { 0.1 });
         if own && self.period == 0 && class <= MOST_CLASS {
@@ -557,11 +583,20 @@
         u.at = now;
         let strain = took / u.calm.max(1.0);
         self.pace += 0.05 * (took - self.pace);
-        self.feel(took / (aim * AIM_SHARE), strain);
+        // What a peer felt was in a pool of the backend's that it does not tell.
+        let listed = b.listed;
+        match through {
+            Some(at) => self.feel(at, took / (aim * AIM_SHARE), strain),
+            None if self.pools.len() == 1 => self.feel(0, took / (aim * AIM_SHARE), strain),
+            None => {
+                let of: Vec<usize> = self.pools_of(&listed).collect();
+                of.into_iter().for_each(|at| self.feel(at, took / (aim * AIM_SHARE), strain));
+            }
+        }
     }
 
-    fn on_answer(&mut self, bid: BackendId, outcome: Outcome, took: Micros, class: Option<usize>) {
-        let (Some(b), Some(class)) = (self.backends.get_mut(&bid), class) else { return };
+    fn on_answer(&mut self, bid: BackendId, outcome: Outcome, took: Micros, of: Option<(usize, usize)>) {
+        let (Some(b), Some((class, at))) = (self.backends.get_mut(&bid), of) else { return };
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled | Outcome::TimedOut) {
             return;
         }
@@ -573,7 +608,7 @@
         h.heard = now;
         if outcome == Outcome::Full {
             b.queue += self.shares as f64;
-            return self.feel(2.0, 7.0);
+            return self.feel(at, 2.0, 7.0);
         }
         let sick = h.doubt(now) * 0.85 + if bad { 0.15 } else { 0.0 } > SICK_ERRORS;
         if bad && (sick || h.strikes > 0) {
@@ -581,7 +616,7 @@
         } else if !bad && !sick {
             h.strikes = 0;
         }
-        self.learn(bid, class, (!bad).then_some(took as f64), true);
+        self.learn(bid, class, (!bad).then_some(took as f64), Some(at));
     }
 
     fn on_settled(&mut self, event: Event, act: &mut Vec<Action>) {
@@ -589,15 +624,19 @@
         else {
             return;
         };
-        let class = self.requests.get(&id).map(|o| usize::from(o.req.class));
-        self.on_answer(backend, outcome, took, class);
+        let of = self.requests.get(&id).map(|o| {
+            let at = o.attempts.get(usize::from(attempt)).map_or(0, |a| a.pool);
+            (usize::from(o.req.class), at)
+        });
+        self.on_answer(backend, outcome, took, of);
         if let (Some(b), Some(queue)) = (self.backends.get_mut(&backend), report.and_then(|r| r.queue)) {
             (b.queue, b.told_at) = (queue.clamp(0.0, 1000.0), self.now);
         }
         let Some(o) = self.requests.get_mut(&id) else { return };
         let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         (a.out, a.void) = (false, outcome.never_ran());
-        self.out = self.out.saturating_sub(1);
+        let at = a.pool;
+        self.pools[at].out = self.pools[at].out.saturating_sub(1);
         if let Some(b) = self.backends.get_mut(&a.to.backend) {
             b.out = b.out.saturating_sub(1);
         }
@@ -620,6 +659,15 @@
         self.dispatch(act);
     }
 
+    /// A further attempt: where the first would go now, else where there is room. Its class has been asked, and a
+    /// choice keeps to the group that knows its key, whatever the pool.
+    fn resend(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
+        let o = &self.requests[&id];
+        let (first, room) = (self.goal(o), self.room(o));
+        self.send(id, first, act)
+            || room.into_iter().flatten().filter(|at| *at != first).any(|at| self.send(id, at, act))
+    }
+
     /// Tries a further attempt, where the class, the time and the budget allow one.
     fn again(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let o = &self.requests[&id];
@@ -629,7 +677,7 @@
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
         let single = o.out() == 0 || self.s.limits.second_copies;
         let cost = if o.out() == 0 { 1.0 } else { COPY_COST };
-        let sent = allowed && useful && room && single && self.retries >= cost && self.send(id, act);
+        let sent = allowed && useful && room && single && self.retries >= cost && self.resend(id, act);
         self.retries -= if sent { cost } else { 0.0 };
         sent
     }
@@ -672,15 +720,17 @@
             self.checks.pop();
             self.check(id, act);
         }
-        for id in std::mem::take(&mut self.waiting) {
-            if !self.give_up(id, act) {
-                self.waiting.push_back(id);
+        for at in 0..self.pools.len() {
+            for id in std::mem::take(&mut self.pools[at].waiting) {
+                if !self.give_up(id, act) {
+                    self.pools[at].waiting.push_back(id);
+                }
             }
         }
         if self.now >= self.able_at + COUNTED {
             self.count_able();
         }
-        self.step_alert(act);
+        (0..self.pools.len()).for_each(|at| self.step_alert(at, act));
         self.dispatch(act);
         let ready = |p: &u16| self.peers.get(p).is_some_and(|p| p.next <= now);
         let ready: Vec<u16> = self.due.iter().copied().filter(ready).collect();
@@ -717,7 +767,7 @@
         let k = usize::from(o.req.class);
         let (once, patience) = (o.class.repeat == Repeat::Once, o.patience());
         let Some(a) = o.attempts.iter_mut().rev().find(|a| a.out && !a.cancelled) else { return };
-        let (bid, hedge_at) = (a.to.backend, a.sent + (patience * HEDGE) as Micros);
+        let (bid, at, hedge_at) = (a.to.backend, a.pool, a.sent + (patience * HEDGE) as Micros);
         let Some(b) = self.backends.get_mut(&bid) else { return };
         // A call-off frees nothing where work runs on, and a copy runs beside the first: only a silence that
         // no backend at work would keep is taken for death, and for that alone a backend is rested.
@@ -731,7 +781,7 @@
         if !dead && now < hedge_at {
             return;
         }
-        let (again, limits) = ((dead || self.rung == 0) && !once, &self.s.limits);
+        let (again, limits) = ((dead || self.pools[at].rung == 0) && !once, &self.s.limits);
         let move_it = again && dead && now < hedge_at && !limits.second_copies && limits.cancel;
         if move_it && self.retries >= COPY_COST {
             self.retries -= COPY_COST - 1.0; // the rest with the retry that follows
@@ -739,7 +789,7 @@
         }
         if dead && now >= b.health[k].rest_until {
             b.health[k].rest(now);
-            self.learn(bid, k, None, true);
+            self.learn(bid, k, None, Some(at));
         }
         if again && self.s.limits.second_copies {
             self.again(id, act);
@@ -850,7 +900,7 @@
         for s in m.samples {
             let class = usize::from(s.class);
             if let (Some(bid), Some(k)) = (self.tags.get(&s.tag), self.s.classes.get(class)) {
-                self.learn(*bid, class, s.took.map(|t| t * k.aim as f64), false);
+                self.learn(*bid, class, s.took.map(|t| t * k.aim as f64), None);
             }
         }
         match m.body {
@@ -977,6 +1027,9 @@
         known.for_each(|b| b.health.resize(count, Health::default()));
         (self.s.classes, self.s.plans, self.s.rules) = (new.classes, new.plans, new.rules);
         (self.s.limits, self.changed_at) = (new.limits, self.now);
+        // Pools that went are in no request that comes; what is out of them counts until it is back.
+        let pools = usize::from(new.pools) + 1;
+        self.pools.resize_with(pools.max(self.pools.len()), || Pool::new(PLACES));
     }
 
     // ---- 8. The list of backends ----
@@ -1001,12 +1054,16 @@
             b.ready = l.availability == Availability::Ready;
         }
         self.backends.forget_idle();
-        self.ready_size = self.backends.ready().map(|(_, b)| b.size).sum();
-        self.order = self.backends.ready().map(|(place, _)| place).collect();
         self.tags = self.backends.ready().map(|(_, b)| (tag(b.listed.backend.0), b.listed.backend)).collect();
-        let (backends, me) = (&self.backends, self.s.me.0);
+        let (backends, me, now) = (&self.backends, self.s.me.0, self.now);
         let own = |place: &usize| mix(backends.at(*place).listed.backend.0 ^ u64::from(me) << 48);
-        self.order.sort_by(|a, b| own(a).total_cmp(&own(b)));
+        for (at, pool) in self.pools.iter_mut().enumerate() {
+            let of = |l: &Listed| at == 0 || l.pools & 1 << (at - 1) != 0;
+            let ready = || backends.ready().filter(|(_, b)| of(&b.listed));
+            let mut order: Vec<usize> = ready().map(|(place, _)| place).collect();
+            order.sort_by(|a, b| own(a).total_cmp(&own(b)));
+            pool.listed(order, ready().map(|(_, b)| b.size).sum(), now);
+        }
         self.count_able();
         self.dispatch(act);
     }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -183,6 +183,8 @@
     pub meter_period: Micros,
     /// Units are guesses, settled with the answer.
     pub post_paid: bool,
+    /// How many pools of backends there are, up to [`MOST_POOLS`]; numbered from 1.
+    pub pools: u8,
 }
 
 /// The state of a backend as listed.
@@ -214,6 +216,8 @@
     pub size: f64,
     /// When it last started; 0 for long ago.
     pub started: Micros,
+    /// The pools that it is of: the lowest bit for pool 1.
+    pub pools: u64,
 }
 
 /// How a list is to be read.
@@ -293,8 +297,17 @@
     pub width: f64,
     /// The first of these, counted round.
     pub first: f64,
+    /// The pools that it may go to, best first, as numbers from 1; nought ends them, and all nought is every backend.
+    pub tiers: [u8; MOST_TIERS],
+    /// How many of these are its own, rather than what it falls back on; at least one is.
+    pub own: u8,
 }
 
+/// The most pools that a request may go to one after the other.
+pub const MOST_TIERS: usize = 4;
+/// The most pools: a backend has a bit for each.
+pub const MOST_POOLS: usize = 64;
+
 /// What a gateway sees.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -46,6 +46,7 @@
 mod control;
 mod gossip;
 mod interface;
+mod pools;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/crates/decision/src/pools.rs
@@ -0,0 +1,162 @@
+//! Pools of backends: which of a request's pools it goes to, and when it falls back. A request has its pools in order, best
+//! first, the first of them its own; without any it may go to every backend, which is pool 0. Which backend of a pool takes it,
+//! how much may be out and who is refused is decided in `control.rs`, for each pool by itself: a pool that is pressed sheds its
+//! own load and nobody else's.
+//!
+//! - A pool that has nobody ready, or fails as a whole, is passed over. A trickle still goes to one that fails, to see when it
+//!   is back; what must never run twice is not used for that.
+//! - One that is back takes its customers back step by step, the same ones first each time: one that comes and goes each second
+//!   keeps few of them, and its fallback the others, instead of all of them moving each time.
+//! - A pool that is at its bound sends what is beyond it on, as far as the next one has room to spare. A part of each pool is
+//!   kept for its own requests, so that what others send cannot push it over; the bound counts cold and slow backends for what
+//!   they are worth.
+
+use crate::control::{ALERT_OFF, SPILL};
+use crate::interface::*;
+use crate::state::{mix, Gateway, Open};
+use std::collections::VecDeque;
+
+/// How long a pool that is back takes to have all of its customers again: longer than it takes to see that it is gone.
+const RETURN: Micros = 4_000_000;
+/// The share that comes back at once.
+const AT_ONCE: f64 = 0.1;
+/// The share of recent answers that were bad from which a pool fails as a whole, and the one at which it is back.
+const FAILS: f64 = 0.6;
+const WORKS: f64 = 0.3;
+/// The weight of an answer in that share: a handful tells.
+const ANSWER: f64 = 0.15;
+/// One in so many requests goes to a pool that fails.
+const TRICKLE: f64 = 0.1;
+
+/// A pool, as this gateway knows it.
+#[derive(Default)]
+pub struct Pool {
+    /// The places of its ready backends, in an order of this gateway's own.
+    pub order: Vec<usize>,
+    pub ready_size: f64,
+    /// As many as the ready ones are worth, the cold and the slow for less than one.
+    pub able: f64,
+    pub waiting: VecDeque<RequestId>,
+    /// Attempts out that went out through this pool.
+    pub out: u32,
+    /// Attempts that may be out at a backend, by all gateways, if all send alike.
+    pub places: f64,
+    pub limit_at: Micros,
+    pub pressure: f64,
+    pub pressure_at: Micros,
+    /// Answers' times over those on calm servers.
+    pub strain: f64,
+    /// Recent share of requests inside their quota that found no place.
+    pub turned_away: f64,
+    pub rung: usize,
+    pub rung_since: Micros,
+    /// Share of recent answers that were bad.
+    bad: f64,
+    fails: bool,
+    /// Since when it takes its customers back; none where it has them all, as from the start on.
+    back_at: Option<Micros>,
+    /// It has had a backend before.
+    known: bool,
+}
+
+impl Pool {
+    /// One that begins with so many places a backend.
+    pub fn new(places: f64) -> Pool {
+        Pool { places, ..Pool::default() }
+    }
+
+    /// Its ready backends are others now.
+    pub fn listed(&mut self, order: Vec<usize>, ready_size: f64, now: Micros) {
+        if self.order.is_empty() && !order.is_empty() && self.known {
+            // What was felt before it was gone says nothing of those that came.
+            (self.pressure, self.strain, self.rung, self.bad, self.fails) = (0.0, 0.0, 0, 0.0, false);
+            self.back_at = Some(now);
+        }
+        self.known |= !order.is_empty();
+        (self.order, self.ready_size) = (order, ready_size);
+    }
+
+    /// Notes how an attempt of its own ended.
+    pub fn note(&mut self, bad: bool, now: Micros) {
+        self.bad += ANSWER * (f64::from(u8::from(bad)) - self.bad);
+        if self.fails && self.bad < WORKS {
+            (self.fails, self.back_at) = (false, Some(now));
+        }
+        self.fails |= self.bad > FAILS;
+    }
+
+    /// Whether a request of a customer may go to it: it has somebody, does not fail, and has its customer back.
+    fn takes(&self, customer: f64, lot: f64, once: bool, now: Micros) -> bool {
+        if self.order.is_empty() {
+            return false;
+        }
+        if self.fails {
+            return !once && lot < TRICKLE;
+        }
+        let share = self.back_at.map_or(1.0, |at| AT_ONCE + (now - at) as f64 / RETURN as f64);
+        customer < share
+    }
+}
+
+impl Gateway {
+    /// A request's pools in their order, and how many of them are its own: what it falls back on comes behind these.
+    fn tiers(&self, req: &Request) -> ([u8; MOST_TIERS], usize, usize) {
+        let known = req.tiers.iter().take_while(|p| **p != 0 && usize::from(**p) < self.pools.len()).count();
+        // A request without a route has one pool, that of all backends.
+        (req.tiers, known.max(1), usize::from(req.own).clamp(1, known.max(1)))
+    }
+
+    /// The first of a request's pools that takes it at all, with its place among them; where none does, the first.
+    fn best(&self, o: &Open) -> (usize, usize) {
+        let (tiers, count, _) = self.tiers(&o.req);
+        if count == 1 {
+            return (0, usize::from(tiers[0]));
+        }
+        let customer = mix(o.req.customer.0 ^ 0x5EED);
+        let lot = mix(o.req.id.0 ^ 0x7121);
+        let takes = |p: &u8| {
+            let once = o.class.repeat == Repeat::Once;
+            self.pools[usize::from(*p)].takes(customer, lot, once, self.now)
+        };
+        let at = tiers[..count].iter().position(takes);
+        at.map_or((0, usize::from(tiers[0])), |at| (at, usize::from(tiers[at])))
+    }
+
+    /// The pool that a request goes to if it goes at once: by its rung it is let in or not.
+    pub(crate) fn goal(&self, o: &Open) -> usize {
+        self.best(o).1
+    }
+
+    /// The pool in whose line a request waits: one of its own, for in another's line it would hold up that one's own.
+    pub(crate) fn line_of(&self, o: &Open) -> usize {
+        let ((tiers, _, own), (at, best)) = (self.tiers(&o.req), self.best(o));
+        if at < own {
+            best
+        } else {
+            usize::from(tiers[0])
+        }
+    }
+
+    /// The pools that would take a request now, best first: its best one within its bound, those behind with room to spare.
+    pub(crate) fn room(&self, o: &Open) -> [Option<usize>; MOST_TIERS] {
+        let (tiers, count, own) = self.tiers(&o.req);
+        let (first, _) = self.best(o);
+        let mut room = [None; MOST_TIERS];
+        for at in first..count {
+            let number = usize::from(tiers[at]);
+            let pool = &self.pools[number];
+            let (out, limit) = (f64::from(pool.out), self.limit(number));
+            let spare =
+                pool.pressure < ALERT_OFF && out < limit * SPILL && !pool.fails && !pool.order.is_empty();
+            let takes = if at < own { out < limit && (at == first || !pool.fails) } else { spare };
+            room[at] = takes.then_some(number);
+        }
+        room
+    }
+
+    /// The pools that a backend is of.
+    pub(crate) fn pools_of(&self, listed: &Listed) -> impl Iterator<Item = usize> {
+        let (set, count) = (listed.pools, self.pools.len());
+        std::iter::once(0).chain((1..count).filter(move |n| set & 1 << (n - 1) != 0))
+    }
+}
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::gossip::{incarnation, Body, Message, Sample};
 use crate::interface::*;
+use crate::pools::Pool;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
@@ -14,6 +15,8 @@
     pub sent: Micros,
     pub out: bool,
     pub cancelled: bool,
+    /// The pool through which it went.
+    pub pool: usize,
     /// Proved never to have run.
     pub void: bool,
 }
@@ -225,7 +228,6 @@
     /// Stood still until then: times found with that turn say nothing.
     pub(crate) woke: Micros,
     pub(crate) requests: BTreeMap<RequestId, Open>,
-    pub(crate) waiting: VecDeque<RequestId>,
     pub(crate) checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
     pub(crate) peers: BTreeMap<u16, Peer>,
@@ -234,28 +236,14 @@
     pub(crate) samples: VecDeque<(u8, Sample)>,
     pub(crate) backends: Backends,
     pub(crate) tags: BTreeMap<u32, BackendId>,
-    /// The places of the ready ones, in an order of this gateway's own.
-    pub(crate) order: Vec<usize>,
-    pub(crate) ready_size: f64,
-    /// As many as the ready ones are worth, the cold and the slow for less than one.
-    pub(crate) able: f64,
+    /// All backends, and the pools of routes behind them.
+    pub(crate) pools: Vec<Pool>,
     pub(crate) able_at: Micros,
     /// Whether zones could be reached.
     pub(crate) zones: BTreeMap<u8, Health>,
     pub(crate) usual: Vec<Usual>,
-    pub(crate) pressure: f64,
-    pub(crate) pressure_at: Micros,
-    /// Answers' times over those on calm servers, and the mean of all, in microseconds.
-    pub(crate) strain: f64,
+    /// The mean time of all answers, in microseconds.
     pub(crate) pace: f64,
-    /// Recent share of requests inside their quota that found no place.
-    pub(crate) turned_away: f64,
-    pub(crate) rung: usize,
-    pub(crate) rung_since: Micros,
-    /// Attempts that may be out at a backend, by all gateways, if all send alike.
-    pub(crate) places: f64,
-    pub(crate) limit_at: Micros,
-    pub(crate) out: u32,
     pub(crate) retries: f64,
     pub(crate) sent_rate: f64,
     pub(crate) sent_at: Micros,
--- a/crates/decision/tests/deployments.rs
+++ b/crates/decision/tests/deployments.rs
@@ -454,6 +454,7 @@
             units: 1.0,
             width,
             first,
+            ..Request::default()
         };
         self.inside += 1;
         self.asked
--- a/crates/decision/tests/hostile.rs
+++ b/crates/decision/tests/hostile.rs
@@ -179,7 +179,7 @@
                 host.classes.insert(id, if class < 3 { class } else { 0 });
                 host.customers.insert(id, (plan, customer, units));
                 let customer = CustomerId(customer);
-                let req = Request { id, class, plan, customer, deadline, units, width, first: 0.0 };
+                let req = Request { id, class, plan, customer, deadline, units, width, ..Request::default() };
                 feed(&mut host, now, Event::Request(req));
             }
             Step::Settle { pick, outcome, unknown } => {
--- a/crates/decision/tests/rig/mod.rs
+++ b/crates/decision/tests/rig/mod.rs
@@ -69,6 +69,7 @@
         availability: Availability::Ready,
         size: 1.0,
         started: 0,
+        pools: 0,
     }
 }
 
@@ -118,10 +119,16 @@
         let deadline = self.now + 4 * S;
         let customer = CustomerId(customer);
         let first = if width == 6.0 { 15.0 } else { 0.0 };
-        let req = Request { id, class, plan, customer, deadline, units, width, first };
+        let req = Request { id, class, plan, customer, deadline, units, width, first, ..Request::default() };
         (id, self.feed(Event::Request(req)))
     }
 
+    /// Whether a request is still known: told once more under the same id, one that is gone is refused as too late.
+    pub fn gateway_owes(&mut self, id: RequestId) -> bool {
+        let req = Request { id, deadline: 0, ..Request::default() };
+        !refused(&self.feed(Event::Request(req)))
+    }
+
     pub fn settle(
         &mut self,
         id: RequestId,
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -10,6 +10,7 @@
 use wrenfork_config::set::Set;
 use wrenfork_control::state::State;
 use wrenfork_decision::{Micros, Settings};
+use wrenfork_routes::Table;
 use wrenfork_wire::call::{Identity, Vocabulary};
 
 /// What an ingress is told.
@@ -38,6 +39,7 @@
 pub struct Enforced {
     pub settings: Settings,
     pub vocabulary: Vocabulary,
+    pub routes: Table,
     pub discovery: SocketAddr,
     pub connect_timeout: Micros,
     pub keepalive: Micros,
@@ -63,7 +65,9 @@
 /// Names the key that is unknown, missing or of no use.
 pub fn compile(fixed: &[(String, String)], state: &State) -> Result<Enforced, String> {
     let conf = enforced::join(fixed, &state.0)?;
-    let settings = conf.settings()?;
+    let mut settings = conf.settings()?;
+    let (routes, _) = enforced::table(&state.0)?;
+    settings.pools = routes.pools.len() as u8;
     if settings.tick == 0 {
         return Err("setting tick_us is 0".into());
     }
@@ -98,7 +102,7 @@
         (conf.micros("limits.connect_timeout_us")?, conf.micros("limits.keepalive_us")?);
     let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity };
     let discovery = address(discovery, "discovery")?;
-    Ok(Enforced { settings, vocabulary, discovery, connect_timeout, keepalive })
+    Ok(Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive })
 }
 
 /// The peers of an ingress.
--- a/crates/ingress/src/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -34,6 +34,8 @@
 pub struct Entry {
     pub listed: Listed,
     pub address: Option<SocketAddr>,
+    /// What pools go by: its name, hall and model as discovery has them.
+    pub named: [String; 3],
 }
 
 /// A list as discovery tells it.
@@ -92,8 +94,10 @@
             size: json.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
             // The host's clock counts from the same moment as Unix time: only the unit is another.
             started: since.saturating_mul(1000),
+            pools: 0,
         };
-        Ok(Entry { listed, address })
+        let named = [name, text("zone").unwrap_or(""), text("type").unwrap_or("")].map(String::from);
+        Ok(Entry { listed, address, named })
     }
 }
 
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -14,6 +14,7 @@
 use crate::reload::Reload;
 use crate::requests::{Attempt, Place, Requests};
 use crate::room::Budget;
+use crate::routing::Routing;
 use crate::shutdown::Shutdown;
 use crate::timers::{Due, Timers};
 use mio::net::TcpListener;
@@ -68,6 +69,7 @@
     backends: Backends,
     watch: Watch,
     reload: Reload,
+    routing: Routing,
     control: Option<Port>,
     tally: Tally,
     peers: Option<Peers>,
@@ -141,7 +143,8 @@
         let clock = Clock::new();
         let now = clock.now();
         let control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
-        let Enforced { settings, vocabulary, discovery, connect_timeout, keepalive } = config.enforced;
+        let Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive } =
+            config.enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let budget = Budget::new(config.sockets)?;
         let requests = Requests::new(settings.limits.max_open as usize, config.memory / MEMORY_SHARE);
@@ -165,6 +168,7 @@
             backends: Backends::new(keepalive, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(discovery, config.sites, config.known.index, DISCOVERY),
             reload,
+            routing: Routing::new(routes, control.is_some()),
             control,
             tally: Tally::default(),
             peers,
@@ -288,7 +292,7 @@
 
     /// Enforces a new generation: requests that are open end under the one in which they came.
     fn switch(&mut self, enforced: Enforced) {
-        let Enforced { settings, vocabulary, discovery, connect_timeout, keepalive } = enforced;
+        let Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive } = enforced;
         self.limits = settings.limits.clone();
         self.connect_timeout = connect_timeout;
         self.requests.allow(settings.limits.max_open as usize);
@@ -299,6 +303,10 @@
             self.watch.move_to(discovery, self.now);
         }
         self.events.push_back(Event::Settings(Box::new(settings)));
+        // Which node is of which pool comes at once behind the pools.
+        if let Some(list) = self.routing.change(routes) {
+            self.events.push_back(Event::Roster(RosterKind::Full, list));
+        }
         self.pump();
     }
 
@@ -327,7 +335,8 @@
         self.pump();
     }
 
-    fn take_roster(&mut self, roster: Roster, kind: RosterKind) {
+    fn take_roster(&mut self, mut roster: Roster, kind: RosterKind) {
+        self.routing.member(&mut roster);
         self.backends.update(&roster);
         if kind != RosterKind::Delta || !roster.entries.is_empty() {
             let list = roster.entries.iter().map(|e| e.listed).collect();
@@ -408,6 +417,7 @@
         let early = (2 * self.tick + ON_THE_WAY).min(wait / 4);
         let mut request = call.request;
         (request.id, request.deadline) = (id, self.now + wait - early);
+        self.routing.route(&mut request);
         // One timer for all of it: nearly every request is answered long before, and each timer costs a place in the
         // heap until its time comes.
         self.timers.set(request.deadline, Due::Deadline(id));
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -13,6 +13,7 @@
 mod reload;
 mod requests;
 mod room;
+mod routing;
 mod shutdown;
 mod timers;
 
--- a/crates/ingress/tests/sidecar.rs
+++ b/crates/ingress/tests/sidecar.rs
@@ -146,3 +146,69 @@
     }
     assert!(started >= 12, "only {started}");
 }
+
+/// A node's entry, of a model.
+fn entry_of(backend: &Backend, name: &str, model: &str, status: &str) -> String {
+    let entry = backend.entry(name, status);
+    let at = entry.find("\"type\":\"").unwrap() + 8;
+    let end = at + entry[at..].find('"').unwrap();
+    format!("{}{model}{}", &entry[..at], &entry[end..])
+}
+
+/// Guards against a route that is checked and then ignored: two classes in two pools, and the fallback of one.
+#[test]
+fn requests_go_to_the_pools_of_their_routes_and_fall_back_when_these_drain() {
+    let (at, fast, slow, other) =
+        (place(), Backend::start(serve), Backend::start(serve), Backend::start(serve));
+    let discovery = Discovery::start();
+    let text = app(at).replace("127.0.0.1:8500", &discovery.at.to_string())
+        + "\n[[pool]]\nname = \"fast\"\nmodels = [\"std-3c\"]\nfallback = \"slow\"\n"
+        + "\n[[pool]]\nname = \"slow\"\nmodels = [\"small-2c\"]\n"
+        + "\n[[route]]\nclass = \"quote\"\npool = \"fast\"\n\n[[route]]\nclass = \"save-scenario\"\npool = \"slow\"\n";
+    let folder = Folder::new(
+        &text.replace("plan = \"starter\"", "plan = \"starter\"\nquota = \"9/s\"\nburst = 60"),
+        &[],
+    );
+    let nodes = [(&fast, "s-fast", "std-3c"), (&slow, "s-slow", "small-2c"), (&other, "s-other", "old-1c")];
+    let entries: Vec<String> = nodes.iter().map(|(b, name, model)| entry_of(b, name, model, "up")).collect();
+    folder.write("fleet.json", &list(1, true, &entries));
+    for entry in entries {
+        discovery.change(entry);
+    }
+    let ingress = folder.start(at, "");
+    let mut client = ingress.client();
+    let mut next = 0;
+    let mut ask = |class: &str| {
+        next += 1;
+        let (verb, key) = if class == "quote" { ("CALL.GET", "") } else { ("CALL.POST", ",k=00ff") };
+        let options = format!("c={class},t=starter,d=900{key},units=1,spread=1,first=0");
+        let id = format!("p{next}");
+        let parts = [verb, "00000000000004d3", &id, &options, "BODY"];
+        client.ask(&command(if verb == "CALL.GET" { &parts[..4] } else { &parts }))
+    };
+    until("the nodes are known", || {
+        ask("quote").starts_with("value") && ask("save-scenario").starts_with("value")
+    });
+    let counts = || (fast.count(), slow.count(), other.count());
+    let before = counts();
+    for _ in 0..10 {
+        assert!(ask("quote").starts_with("value") && ask("save-scenario").starts_with("value"));
+    }
+    let after = counts();
+    assert_eq!((after.0 - before.0, after.1 - before.1), (10, 10));
+    discovery.change(entry_of(&fast, "s-fast", "std-3c", "draining"));
+    until("it falls back", || {
+        let (had, answer) = (slow.count(), ask("quote"));
+        answer.starts_with("value") && slow.count() > had
+    });
+    let before = counts();
+    for _ in 0..10 {
+        assert!(ask("quote").starts_with("value"));
+    }
+    let after = counts();
+    assert_eq!(
+        (after.0, after.1 - before.1, after.2),
+        (before.0, 10, 0),
+        "the one in neither pool has had nothing"
+    );
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -186,6 +186,54 @@
     }
 }
 
+/// The most pools that a request may go to one after the other.
+pub const MOST_TIERS: usize = 4;
+
+/// A route with all that can be known of it before a request comes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// Pools by number from 1, best first; nought ends them.
+    pub tiers: [u8; MOST_TIERS],
+    /// How many of them are its own, rather than what it falls back on.
+    pub own: u8,
+}
+
+/// All routes, by class, as a request's way is found: without a walk over the table.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ways(Vec<(Way, Option<(Way, f64)>)>);
+
+fn way(pools: impl Iterator<Item = PoolNo>, own: u8) -> Way {
+    let mut way = Way { own, ..Way::default() };
+    pools.zip(&mut way.tiers).for_each(|(pool, tier)| *tier = pool.0 + 1);
+    way
+}
+
+impl Ways {
+    /// The ways of a table.
+    pub fn of(table: &Table) -> Ways {
+        let ways = table.routes.iter().map(|route| {
+            let Some(route) = route else { return (Way::default(), None) };
+            let order = table.order(route.pool).unwrap_or_else(|_| vec![route.pool]);
+            let trial = route.trial.map(|t| {
+                let rest = order.iter().copied().filter(|p| *p != t.pool);
+                // Who is on trial has the pool that others have as a second one of its own.
+                (way(std::iter::once(t.pool).chain(rest), 2), t.share)
+            });
+            (way(order.iter().copied(), 1), trial)
+        });
+        Ways(ways.collect())
+    }
+
+    /// The way of a customer's request of a class.
+    pub fn way(&self, class: usize, customer: u64) -> Way {
+        match self.0.get(class) {
+            Some((_, Some((trial, share)))) if lot(class as u64, customer) < *share => *trial,
+            Some((way, _)) => *way,
+            None => Way::default(),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -255,6 +303,23 @@
         }
     }
 
+    /// Guards against a way that is not what the table says.
+    #[test]
+    fn a_way_is_the_tables_tiers() {
+        let mut table = pools(&[Some(1), None, None]);
+        let trial = Some(Trial { pool: PoolNo(2), share: 0.3 });
+        table.routes = vec![None, Some(Route { pool: PoolNo(0), trial })];
+        let ways = Ways::of(&table);
+        assert_eq!((ways.way(0, 7), ways.way(9, 7)), (Way::default(), Way::default()));
+        for customer in 0..200 {
+            let tiers = table.tiers(1, customer).unwrap();
+            let way = ways.way(1, customer);
+            let bits: Vec<u64> = way.tiers.iter().filter(|t| **t > 0).map(|t| PoolNo(t - 1).bit()).collect();
+            assert_eq!(bits, tiers);
+            assert_eq!(way.own == 2, table.on_trial(1, customer));
+        }
+    }
+
     proptest! {
         /// Whatever the table, walking it ends, and each pool of an order is there once.
         #[test]
