A sidecar takes a whole new file on SIGHUP, and listens on a Unix socket

Need: a reload took only discovery's address, and a Unix socket was checked and refused. What: the sidecar's files are read again, checked and compiled aside, aligned with the places in use, and taken between two turns through the same switch as a change that is applied, or refused whole with the reason in the log. A listener is TCP or a Unix socket (crates/ingress/src/stream.rs), with the mode set before it has its name, taken over after a crash under a lock, removed if still its own.

--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, the connections, and the answers in the order of their requests.
 
-use mio::net::{TcpListener, TcpStream};
+use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -59,7 +59,7 @@
 }
 
 struct Client {
-    stream: TcpStream,
+    stream: Stream,
     serial: u64,
     buf: Vec<u8>,
     /// Answers in the order of the requests, and the number of the first of them.
@@ -156,7 +156,7 @@
 
 /// All client connections.
 pub struct Clients {
-    listener: Option<TcpListener>,
+    listener: Option<Listener>,
     conns: Slab<Client>,
     serial: u64,
     next_id: u64,
@@ -183,7 +183,7 @@
 
 impl Clients {
     /// Starts from a listener that is registered already; `memory` is what connections may hold in all.
-    pub fn new(listener: TcpListener, words: Vocabulary, memory: usize, tokens: fn(usize) -> Token) -> Self {
+    pub fn new(listener: Listener, words: Vocabulary, memory: usize, tokens: fn(usize) -> Token) -> Self {
         Clients {
             listener: Some(listener),
             conns: Slab::new(),
@@ -234,7 +234,7 @@
             }
             let Some(listener) = &self.listener else { return Accepted::All };
             match listener.accept() {
-                Ok((stream, _)) => self.add(stream, registry, now, room == Room::Surplus),
+                Ok(stream) => self.add(stream, registry, now, room == Room::Surplus),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
                 // One that was gone before it was accepted.
                 Err(e)
@@ -247,13 +247,12 @@
         Accepted::More
     }
 
-    fn add(&mut self, mut stream: TcpStream, registry: &Registry, now: Micros, surplus: bool) {
+    fn add(&mut self, mut stream: Stream, registry: &Registry, now: Micros, surplus: bool) {
         let place = self.conns.vacant_entry();
         let token = (self.tokens)(place.key());
         if registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_err() {
             return;
         }
-        let _ = stream.set_nodelay(true); // an answer is one write: there is nothing to wait for
         self.serial += 1;
         self.accepted_at = now;
         self.lingering += usize::from(surplus);
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -15,7 +15,7 @@
 
 /// What an ingress is told.
 pub struct Config {
-    pub listen: SocketAddr,
+    pub listen: Listen,
     pub seed: u64,
     /// The most file descriptors.
     pub sockets: usize,
@@ -31,6 +31,8 @@
     pub sites: Sites,
     /// What may change later, and what may not.
     pub told: enforced::Told,
+    /// Told by the platform, whose file has no pools.
+    pub platform: bool,
     /// Where changes are told, and what must not be forgotten is kept; from the application's file.
     pub control: Control,
 }
@@ -105,6 +107,40 @@
     Ok(Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive })
 }
 
+/// Where clients find an ingress.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Listen {
+    Tcp(SocketAddr),
+    /// A socket's path, and its mode.
+    Unix(PathBuf, u32),
+}
+
+impl std::fmt::Display for Listen {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Listen::Tcp(at) => write!(f, "{at}"),
+            Listen::Unix(path, _) => write!(f, "unix:{}", path.display()),
+        }
+    }
+}
+
+impl Listen {
+    /// What is told; `given` comes before the file's address.
+    fn read(json: &Value, given: Option<String>) -> Result<Listen, String> {
+        if let Some(text) = given {
+            return address(&text, "LB_LISTEN").map(Listen::Tcp);
+        }
+        let place = text(json, "listen")?;
+        let Some(path) = place.strip_prefix("unix:") else {
+            return address(place, "listen").map(Listen::Tcp);
+        };
+        wrenfork_config::values::path(path).map_err(|why| format!("listen: {why}"))?;
+        let mode = json.get("listen_mode").and_then(Value::as_str).unwrap_or("0600");
+        let mode = wrenfork_config::values::mode(mode).map_err(|why| format!("listen_mode: {why}"))?;
+        Ok(Listen::Unix(path.into(), mode))
+    }
+}
+
 /// The peers of an ingress.
 pub struct PeerAddresses {
     pub listen: SocketAddr,
@@ -191,6 +227,7 @@
         };
         let (told, split) = enforced::sidecar(app, site, set.fleet().map(|f| f.content), name)?;
         let mut config = Config::with(&told, split, |_| None)?;
+        config.platform = false;
         config.seed = RandomState::new().hash_one(name);
         let path =
             |p: &Option<wrenfork_config::reader::At<String>>| p.as_ref().map(|p| PathBuf::from(&p.value));
@@ -239,7 +276,7 @@
             None
         };
         Ok(Config {
-            listen: place("LB_LISTEN", "listen")?,
+            listen: Listen::read(json, var("LB_LISTEN"))?,
             seed,
             sockets: whole(json, "limits", "sockets")?,
             memory: whole(json, "limits", "memory_mb")?.saturating_mul(1 << 20),
@@ -249,6 +286,7 @@
             enforced,
             sites,
             told,
+            platform: true,
             control: Control { name: text(json, "name").unwrap_or("ingress").into(), ..Control::default() },
         })
     }
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -6,18 +6,19 @@
 use crate::backends::{Backends, Done, Work};
 use crate::clients::{Accepted, Clients, Incoming, Origin};
 use crate::clock::Clock;
-use crate::config::{Config, Enforced};
+use crate::config::{Config, Enforced, Listen};
 use crate::control::{Kept, Order, Port};
 use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
 use crate::peers::Peers;
-use crate::reload::Reload;
+use crate::reload::{News, Reload};
 use crate::requests::{Attempt, Place, Requests};
 use crate::room::Budget;
 use crate::routing::Routing;
 use crate::shutdown::Shutdown;
+use crate::stream::Listener;
 use crate::timers::{Due, Timers};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -29,6 +30,7 @@
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
 };
+use wrenfork_keeper::socket::{self, Socket};
 use wrenfork_wire::call::Call;
 use wrenfork_wire::resp;
 
@@ -70,6 +72,8 @@
     watch: Watch,
     reload: Reload,
     routing: Routing,
+    /// The file of the clients' socket, where it is one.
+    socket: Option<Socket>,
     control: Option<Port>,
     tally: Tally,
     peers: Option<Peers>,
@@ -129,8 +133,18 @@
         let failed = |what: &str, e: io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
         let registry = poll.registry();
-        let mut listener = TcpListener::bind(config.listen)
-            .map_err(|e| failed(&format!("listen: cannot listen at {}", config.listen), e))?;
+        let (mut listener, socket) = match &config.listen {
+            Listen::Tcp(at) => {
+                let bound = TcpListener::bind(*at);
+                let bound = bound.map_err(|e| failed(&format!("listen: cannot listen at {at}"), e))?;
+                (Listener::Tcp(bound), None)
+            }
+            Listen::Unix(path, mode) => {
+                let (bound, socket) = socket::listen(path, *mode).map_err(|why| format!("listen: {why}"))?;
+                bound.set_nonblocking(true).map_err(|e| failed("listen: cannot be polled", e))?;
+                (Listener::Unix(UnixListener::from_std(bound)), Some(socket))
+            }
+        };
         let registered = registry
             .register(&mut listener, LISTENER, Interest::READABLE)
             .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
@@ -168,7 +182,8 @@
             backends: Backends::new(keepalive, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(discovery, config.sites, config.known.index, DISCOVERY),
             reload,
-            routing: Routing::new(routes, control.is_some()),
+            routing: Routing::new(routes, !config.platform || control.is_some()),
+            socket,
             control,
             tally: Tally::default(),
             peers,
@@ -212,6 +227,9 @@
                 if let Some(control) = self.control.take() {
                     control.close();
                 }
+                if let Some(socket) = &self.socket {
+                    socket.remove();
+                }
                 tracing::info!("stopped");
                 return Ok(());
             }
@@ -368,10 +386,11 @@
         }
     }
 
-    /// Reads the configuration again and moves the watch to where it says, or tries that again later.
+    /// Reads the configuration again and takes what it says, or tries that again later.
     fn reload(&mut self) {
         match self.reload.read(self.now) {
-            Ok(discovery) => self.watch.move_to(discovery, self.now),
+            Ok(News::Discovery(at)) => self.watch.move_to(at, self.now),
+            Ok(News::Whole(enforced)) => self.switch(*enforced),
             Err(Some(at)) => self.timers.set(at, Due::Reload),
             Err(None) => {}
         }
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -15,6 +15,7 @@
 mod room;
 mod routing;
 mod shutdown;
+mod stream;
 mod timers;
 
 use clap::Parser;
@@ -65,7 +66,8 @@
     config.control.socket = control.or(config.control.socket);
     config.control.state = state.or(config.control.state);
     let kept = control::open(&mut config)?;
-    ingress::Ingress::start(config, kept, reload::Reload::new(told), signals)?.run()
+    let reload = reload::Reload::new(told, &config);
+    ingress::Ingress::start(config, kept, reload, signals)?.run()
 }
 
 fn main() -> ExitCode {
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -1,16 +1,31 @@
-//! Reading the configuration anew when told to, while serving. Of what it says only discovery's address is taken
-//! over: all else is fixed from the start on.
+//! Reading the configuration anew when told to, while serving. Of the platform's file only discovery's address is taken over;
+//! a sidecar takes all that may change, whole or not at all, through the same switch as a change that is applied.
 
-use crate::config::Told;
+use crate::config::{compile, Config, Enforced, Listen, Told};
 use std::net::SocketAddr;
+use wrenfork_config::enforced::{self, align};
+use wrenfork_control::state::State;
 use wrenfork_decision::Micros;
 
 /// The first pause before a file that could not be read is read again, and the longest: it may be half written.
 const PAUSES: (Micros, Micros) = (50_000, 2_000_000);
 
+/// What a reading brought.
+pub enum News {
+    /// Discovery is asked at another address from now on.
+    Discovery(SocketAddr),
+    /// All of this is enforced from now on.
+    Whole(Box<Enforced>),
+}
+
 /// The file, and how reading it goes.
 pub struct Reload {
     told: Told,
+    /// What was told at the start, with what is enforced now.
+    has: enforced::Told,
+    /// Where it listens, its descriptors, its memory.
+    place: (Listen, usize, usize),
+    peers: bool,
     /// The pause before the next try; none while no reading is due.
     pause: Option<Micros>,
     next: Micros,
@@ -19,8 +34,10 @@
 
 impl Reload {
     /// Nothing is to be read yet.
-    pub fn new(told: Told) -> Self {
-        Reload { told, pause: None, next: 0, failed: false }
+    pub fn new(told: Told, config: &Config) -> Self {
+        let (has, peers) = (config.told.clone(), config.peers.is_some());
+        let place = (config.listen.clone(), config.sockets, config.memory);
+        Reload { told, has, place, peers, pause: None, next: 0, failed: false }
     }
 
     /// The file is to be read, now and until that succeeds.
@@ -29,23 +46,58 @@
     }
 
     /// Reads the file, whose address of discovery comes before that of the environment. With an error comes the
-    /// time to try again; none where nothing is due, as when a later signal's reading has succeeded meanwhile.
-    pub fn read(&mut self, now: Micros) -> Result<SocketAddr, Option<Micros>> {
+    /// time to try again; none where nothing is due, as when a later signal's reading has succeeded meanwhile, or where
+    /// another try would find the same.
+    pub fn read(&mut self, now: Micros) -> Result<News, Option<Micros>> {
         let Some(pause) = self.pause.filter(|_| now >= self.next) else { return Err(None) };
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty() && name != "LB_DISCOVERY");
-        match self.told.read(var) {
-            Ok(config) => {
-                tracing::info!("reload: discovery at {}", config.enforced.discovery);
-                self.pause = None;
-                Ok(config.enforced.discovery)
-            }
+        let config = match self.told.read(var) {
+            Ok(config) => config,
             Err(why) => {
                 if !std::mem::replace(&mut self.failed, true) {
                     tracing::warn!("reload: {why}; going on as before, and trying again");
                 }
                 (self.next, self.pause) = (now + pause, Some((pause * 2).min(PAUSES.1)));
-                Err(Some(self.next))
+                return Err(Some(self.next));
             }
+        };
+        self.pause = None;
+        if matches!(self.told, Told::Platform(_)) {
+            tracing::info!("reload: discovery at {}", config.enforced.discovery);
+            return Ok(News::Discovery(config.enforced.discovery));
+        }
+        self.whole(&config).map(|enforced| News::Whole(Box::new(enforced))).map_err(|why| {
+            tracing::warn!("reload: refused: {why}; going on as before");
+            None
+        })
+    }
+
+    /// All that may change of a sidecar's new files, if nothing else has changed.
+    fn whole(&mut self, config: &Config) -> Result<Enforced, String> {
+        let (old, new) = (&self.has.fixed, &config.told.fixed);
+        // The list of models follows from the pools and the nodes that are known; nothing is decided by it.
+        let other = |pair: &&(String, String)| pair.0 != "skus" && old.contains(pair) != new.contains(pair);
+        let other = old.iter().chain(new).find(other);
+        if let Some((key, _)) = other {
+            return Err(format!("{key} is fixed from the start on, and takes a restart"));
+        }
+        if self.place != (config.listen.clone(), config.sockets, config.memory) {
+            return Err(
+                "listen, memory and descriptors are fixed from the start on, and take a restart".into()
+            );
+        }
+        let state = align(&[&self.has.state], &config.told.state)?;
+        // Peers name plans by their places. Each of them would find places of its own.
+        if self.peers && state != config.told.state {
+            return Err(
+                "plans, classes or pools have moved, which several sidecars must do together: wrenctl apply"
+                    .into(),
+            );
         }
+        let state = State(state);
+        let enforced = compile(&self.has.fixed, &state)?;
+        tracing::info!(digest = state.digest().short(), "reload: enforcing the new files");
+        self.has.state = state.0;
+        Ok(enforced)
     }
 }
--- a/crates/ingress/tests/sidecar.rs
+++ b/crates/ingress/tests/sidecar.rs
@@ -212,3 +212,92 @@
         "the one in neither pool has had nothing"
     );
 }
+
+/// Guards against a new file of which only a part is taken, or none, or which ends what is under way.
+#[test]
+fn a_new_file_is_taken_whole_on_sighup_or_refused_whole() {
+    let (at, backend) =
+        (place(), Backend::start(|args| Act::Later(std::time::Duration::from_millis(300), served(args))));
+    let folder = Folder::new(&app(at), &[&backend]);
+    let mut ingress = folder.start(at, "");
+    let asked = std::cell::Cell::new(0);
+    let bytes = |account: &str| {
+        asked.set(asked.get() + 1);
+        let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
+        command(&["CALL.GET", account, &format!("s{}", asked.get()), options])
+    };
+    let (mut client, mut open) = (ingress.client(), ingress.client());
+    let knows =
+        |client: &mut Client, account: &str| !client.ask(&bytes(account)).contains("not this application's");
+    let (old, new) = ("00000000000004d3", "00000000000004d5");
+    assert!(knows(&mut client, old) && !knows(&mut client, new));
+    // A request is under way while its account goes and another comes.
+    let before = backend.count();
+    open.send(&bytes(old));
+    until("it is with the backend", || backend.count() > before);
+    folder.write("app.toml", &app(at).replace(old, new));
+    ingress.signal("HUP");
+    until("the new account is known", || knows(&mut client, new));
+    assert!(!knows(&mut client, old), "half of the file was taken");
+    assert!(open.answer().starts_with("value"), "what was under way ends");
+    // A file that is refused, one that changes what is fixed, one cut in half: nothing of them is taken.
+    let elsewhere = app(at).replace(&at.to_string(), "127.0.0.1:9");
+    for text in [app(at).replace("starter", "stater"), app(at)[..200].to_string(), elsewhere] {
+        folder.write("app.toml", &text);
+        (0..10).for_each(|_| ingress.signal("HUP"));
+        std::thread::sleep(std::time::Duration::from_millis(150));
+        assert!(knows(&mut client, new), "it went on as before");
+    }
+    let good_site = good("site.toml");
+    folder.write("site.toml", &good_site.replace("[limits]", "[limits]\ntick = \"8ms\""));
+    folder.write("app.toml", &app(at));
+    ingress.signal("HUP");
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    assert!(knows(&mut client, new), "the tick takes a restart");
+    folder.write("site.toml", &good_site);
+    folder.write(
+        "app.toml",
+        &app(at).replace(old, new).replace("[\"quote\", \"save-scenario\"]", "[\"save-scenario\"]"),
+    );
+    ingress.signal("HUP");
+    until("quotes may not be sent any more", || client.ask(&bytes(new)).contains("may not send"));
+    ingress.signal("TERM");
+    assert!(ingress.exit().success());
+    let log = ingress.log();
+    for part in ["stater", "enforcing the new files", "listen, memory", "tick_us is fixed"] {
+        assert!(log.contains(part), "{part} is not in:\n{log}");
+    }
+}
+
+/// A Unix socket is its owner's from the first moment, serves as TCP does, and is gone at the end.
+#[test]
+fn a_unix_socket_serves_and_is_removed_at_the_end() {
+    use std::io::{Read, Write};
+    use std::os::unix::fs::PermissionsExt;
+    use std::os::unix::net::UnixStream;
+    let (at, backend, run) = (place(), Backend::start(serve), tempfile::tempdir().unwrap());
+    let path = run.path().join("desk.sock");
+    let text = app(at).replace(&at.to_string(), &format!("unix:{}", path.display()));
+    let folder = Folder::new(&text, &[&backend]);
+    // One that a crash left is taken over.
+    drop(std::os::unix::net::UnixListener::bind(&path).unwrap());
+    let mut ingress = Ingress::run("", at, &folder.command(""));
+    until("the sidecar listens", || UnixStream::connect(&path).is_ok());
+    assert_eq!(fs::metadata(&path).unwrap().permissions().mode() & 0o777, 0o600);
+    let mut stream = UnixStream::connect(&path).unwrap();
+    let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
+    for n in 0..3 {
+        stream.write_all(&command(&["CALL.GET", "00000000000004d3", &format!("u{n}"), options])).unwrap();
+        assert_eq!(read_value(&mut stream).unwrap().concat(), format!("value of u{n}"));
+    }
+    // A second one there is refused, and the first serves on.
+    let mut second = Ingress::run("", at, &folder.command(""));
+    assert_eq!(second.exit().code(), Some(1));
+    assert!(second.log().contains("another process listens there"));
+    stream.write_all(&command(&["PING"])).unwrap();
+    assert_eq!(read_value(&mut stream).unwrap().concat(), "+PONG");
+    ingress.signal("TERM");
+    assert!(ingress.exit().success());
+    assert!(!path.exists(), "its file is left behind");
+    assert!(stream.read(&mut [0]).map_or(true, |n| n == 0));
+}
