--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -90,6 +90,11 @@
     for class in &site.classes {
         let name = &class.name.value;
         let keyed = class.effect.as_ref().map(|e| e.value == "keyed");
+        if let Some(window) = class.window.as_ref().filter(|w| keyed == Some(true) && w.value == 0) {
+            let message = format!("class \"{}\" has keys that are known for no time", class.name.value);
+            found
+                .push(s.wrong(Code::OutOfRange, window, message).help("if none may run twice, it is unsafe"));
+        }
         if keyed == Some(true) && class.window.is_none() && !class.bad_key {
             let message = format!("class \"{name}\" is keyed, but not for how long");
             found.push(s.wrong(Code::NoWindow, &class.name, message).help("add window = \"3s\""));
@@ -207,6 +212,14 @@
         if let Some(hall) = sidecar.hall.as_ref().filter(|h| halls().all(|k| k != h.value)) {
             found.push(unknown(a, Code::NoSuchHall, "hall", hall, halls()));
         }
+        let listen = sidecar.listen.as_ref().map(|l| l.value.to_string());
+        if let Some(own) =
+            sidecar.discovery.as_ref().filter(|d| listen.as_ref() == Some(&d.value.to_string()))
+        {
+            let message = format!("sidecar \"{}\" would ask itself for nodes", sidecar.name.value);
+            let wrong = a.wrong(Code::AddressTwice, own, message);
+            found.push(wrong.help("discovery is another program's address"));
+        }
         if app.sidecars.len() > 1 && sidecar.peers.is_none() {
             let message =
                 format!("sidecar \"{}\" can't be told what the others let through", sidecar.name.value);
@@ -398,6 +411,18 @@
 /// A fleet snapshot by itself.
 pub fn fleet(f: &In<Fleet>, found: &mut Vec<Diagnostic>) {
     twice(f, "node", f.content.nodes.iter().map(|n| quoted(&n.name)), found);
+    // One that is gone may have left its address to another.
+    let mut at: HashMap<std::net::SocketAddr, &Node> = HashMap::new();
+    for node in f.content.nodes.iter().filter(|n| n.status == Status::Up) {
+        if let Some(first) = at.insert(node.address, node) {
+            let message = format!(
+                "nodes \"{}\" and \"{}\" are both up at {}",
+                first.name.value, node.name.value, node.address
+            );
+            let wrong = f.wrong(Code::AddressTwice, &node.name, message);
+            found.push(wrong.with(f.at(&first.name.span), "the first one"));
+        }
+    }
 }
 
 /// An application beside the nodes as they are.
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -375,7 +375,8 @@
                 return None;
             }
         };
-        let number = number.filter(|n| (least..=most).contains(n));
+        // A minus before a nought is a slip, and passes for nought.
+        let number = number.filter(|n| (least..=most).contains(n) && !(*n == 0.0 && n.is_sign_negative()));
         if number.is_none() {
             let message = format!("`{}` is a number from {least} to {most}", field.key);
             self.wrong(Code::OutOfRange, span, message);
