--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -659,8 +659,8 @@
         self.dispatch(act);
     }
 
-    /// A further attempt: where the first would go now, else where there is room. Its class has been asked, and a
-    /// choice keeps to the group that knows its key, whatever the pool.
+    /// A further attempt: where the first would go now, else where there is room. Its class has been asked,
+    /// and a choice keeps to the group that knows its key, whatever the pool.
     fn resend(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let o = &self.requests[&id];
         let (first, room) = (self.goal(o), self.room(o));
