Callers prove who they are by signed tokens, with keys that change in service

Accounts are named by what a request says, so whoever reaches a listener could name any of them.

Change: [identity] in an application's or an operator's file: issuers with keys from when to when, tenants with accounts and classes, checked like all else (C115, C116, C409, C410) and enforced as keys of plan and apply. AUTH on a connection, or an option of a request that goes no further. PASETO v4.public alone, checked once and cached by digest; times, key and rights at each request. wrenctl keys new, token, status.

Not measured yet: CPU with tokens.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
 use wrenfork_dial::{Address, MOST_ADDRESSES};
+use wrenfork_identity::trust::Doubt;
 use wrenfork_routes::{Fault, PoolNo, Table, Traits, MOST_POOLS, MOST_TIERS};
 
 /// The least that an ingress works with.
@@ -212,6 +213,7 @@
         found.push(a.wrong(Code::TooTight, &app.descriptors, "a sidecar needs 64 descriptors at the least"));
     }
     sidecars(a, site, found);
+    identity(a, site, true, found);
     accounts(a, s, found);
     if !app.bad_pools {
         pools(a, site, found);
@@ -241,6 +243,47 @@
         pools(&ways, &site, found);
     }
     routes(&ways, &site, found);
+    identity(&ways, &site, false, found);
+}
+
+/// Who may call: names once, keys without a gap, and accounts and classes that there are.
+fn identity(a: &In<Application>, site: &Site, own: bool, found: &mut Vec<Diagnostic>) {
+    let Some(identity) = &a.content.identity else { return };
+    twice(a, "issuer", identity.issuers.iter().map(|i| quoted(&i.name)), found);
+    twice(a, "tenant", identity.tenants.iter().map(|t| quoted(&t.name)), found);
+    for issuer in &identity.issuers {
+        twice(a, "key", issuer.keys.iter().map(|k| quoted(&k.name)), found);
+        let mut trust = crate::callers::trust(identity);
+        let name = &issuer.name.value;
+        trust.issuers.retain(|i| i.name == *name);
+        // From the first key's start on: there is no clock here, and a gap is one whenever it comes.
+        let start = issuer.keys.iter().map(|k| k.from).min().unwrap_or(0);
+        for doubt in trust.rotation(start) {
+            let message = match &doubt {
+                Doubt::Gap(_, at) => {
+                    format!("issuer \"{name}\" has no key from {} on", wrenfork_identity::token::told(*at))
+                }
+                Doubt::Never(_, key) => format!("key \"{key}\" ends before it begins"),
+                Doubt::NoKey(_) | Doubt::Twice(..) => continue,
+            };
+            found.push(a.wrong(Code::NoKeyNow, &issuer.name, message));
+        }
+    }
+    let classes = || site.classes.iter().map(|c| c.name.value.as_str());
+    for tenant in &identity.tenants {
+        for class in tenant.classes.iter().flatten().filter(|c| classes().all(|k| k != c.value)) {
+            found.push(unknown(a, Code::NoSuchClass, "class", class, classes()));
+        }
+        let others =
+            tenant.accounts.iter().filter(|id| a.content.accounts.iter().all(|x| x.id.value != id.value));
+        for id in others.filter(|_| own) {
+            let message = format!(
+                "account {:016x} of tenant \"{}\" is not the application's",
+                id.value, tenant.name.value
+            );
+            found.push(a.wrong(Code::NotItsAccount, id, message));
+        }
+    }
 }
 
 fn sidecars(a: &In<Application>, site: &Site, found: &mut Vec<Diagnostic>) {
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -89,6 +89,10 @@
         "Tables are bounded so that an ingress keeps within its memory: 250 classes, 1,000 plans, 64 pools, 250 halls, 64 sidecars, 200,000 accounts in a file.";
     BadPath, "C114", Refused, "a path that can't be used",
         "The control socket and the folder for what is kept are named by absolute paths of at most 100 bytes, which is what a socket's name holds. A relative path would lead elsewhere with each working directory.";
+    BadKey, "C115", Refused, "a public key that can't be used",
+        "A key is the public half of an Ed25519 pair, 64 hex digits in lower case, as `wrenctl keys new` prints it. Another kind of key, a private one, or one of the few that every signature fits is not taken.";
+    BadMoment, "C116", Refused, "a moment that can't be read",
+        "A moment is written in UTC like `\"2026-12-01T00:00:00Z\"`. A local time would mean something else on each machine.";
     NameTwice, "C201", Refused, "the same name twice",
         "What refers to the name could mean either. The place of the first one is shown as well.";
     NoSuchClass, "C202", Refused, "a class that the site does not have",
@@ -161,6 +165,10 @@
         "With several sidecars each needs `peers`, an address for messages: without it every one of them would give out the whole quota.";
     IdleUsers, "C408", Refused, "users at a listener that can't tell whose a connection is",
         "The kernel says whose process is behind a connection to a Unix socket, and to no other. On the loopback everybody on the machine may connect: listen at a socket's path, or leave `users` out.";
+    NoKeyNow, "C409", Refused, "an issuer without a key at some time",
+        "Between the end of one key and the start of the next, or from the last one's end on, every token of the issuer would be refused. List the new key with a `from` before the old one's `until`, and give the last one no end.";
+    NotItsAccount, "C410", Refused, "a tenant with an account that is not the application's",
+        "A tenant names accounts of the application that the file describes; requests for others are turned away whoever sends them.";
 }
 
 impl Code {
--- a/crates/config/src/enforced.rs
+++ b/crates/config/src/enforced.rs
@@ -4,6 +4,7 @@
 //! sidecar. A place in the lists `contracts` and `grades` belongs to a name: requests that are open, and peers' messages,
 //! name classes and plans by their places. [`align`] gives a wanted state the places that a running one has.
 
+use crate::callers;
 use crate::locality::ways;
 use crate::model::{self, Application, Fleet, Site};
 use crate::render::{contracts, render};
@@ -81,6 +82,7 @@
         ["pools", n, field] => n.parse::<u8>().is_ok() && POOL.contains(&field),
         // A class's name may have dots of its own.
         ["routes", _, .., field] => ROUTE.contains(&field),
+        ["identity", ..] => callers::changeable(key),
         ["limits", field] => LIMITS.contains(&field),
         ["rules", field] => RULES.contains(&field),
         _ => false,
@@ -155,6 +157,7 @@
     let place = app.sidecars.iter().find(|c| c.name.value == name);
     let (pools, routes) = ways(app, site, place);
     route(&mut split.state, &pools, &routes);
+    app.identity.iter().for_each(|identity| callers::put(&mut split.state, identity));
     Ok((told, split))
 }
 
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -37,6 +37,12 @@
     Path,
     /// 16 hex digits.
     Account,
+    /// A list of accounts, not empty.
+    Accounts,
+    /// An Ed25519 public key, 64 hex digits.
+    PublicKey,
+    /// A moment, as RFC 3339 in UTC.
+    Moment,
     /// Octal digits of a file's mode, such as `"0660"`.
     Mode,
     /// A list of names, not empty.
@@ -383,11 +389,83 @@
             "Its accounts. A request for another one is turned away, whatever it claims.",
             "",
         ),
+        may(
+            "identity",
+            Kind::Table(&IDENTITY),
+            "nobody is asked who they are",
+            "Who may call, and how they prove it.",
+            "",
+        ),
         may("pool", Kind::Tables(&POOL, 64), "requests go to any node", "Pools of nodes.", ""),
         may("route", Kind::Tables(&ROUTE, 250), "requests go to any node", "Where classes go.", ""),
     ],
 };
 
+static IDENTITY: Table = Table {
+    name: "identity",
+    about: "Who may call, and how they prove it: by a signed token (PASETO v4.public), in `AUTH TOKEN` or a request's option `auth`.",
+    fields: &[
+        must("audience", Kind::Name, "What tokens must be for.", "\"bangna\""),
+        may("required", Kind::Flag, "true", "Whether requests without a proof are turned away.", "true"),
+        may("skew", Kind::Time, "30s", "By how much clocks may differ.", "\"30s\""),
+        may("longest", Kind::Time, "24h", "The longest that a token may hold for.", "\"24h\""),
+        must("issuer", Kind::Tables(&ISSUER, 64), "Whoever signs tokens.", ""),
+        must("tenant", Kind::Tables(&TENANT, 1_000), "Those on whose behalf tokens speak.", ""),
+    ],
+};
+
+static ISSUER: Table = Table {
+    name: "issuer",
+    about: "Whoever signs tokens.",
+    fields: &[
+        must("name", Kind::Name, "What tokens say in `iss`, and in `kid` before the slash.", "\"desk\""),
+        must(
+            "key",
+            Kind::Tables(&ISSUER_KEY, 16),
+            "Its keys. A new one is listed before it is used, and the old one ended after that.",
+            "",
+        ),
+    ],
+};
+
+static ISSUER_KEY: Table = Table {
+    name: "key",
+    about: "A key that signs tokens.",
+    fields: &[
+        must("name", Kind::Name, "What tokens say in `kid` behind the slash.", "\"2026-12\""),
+        must(
+            "public",
+            Kind::PublicKey,
+            "Its public half: Ed25519, 64 hex digits.",
+            "\"d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a\"",
+        ),
+        may(
+            "from",
+            Kind::Moment,
+            "always",
+            "Tokens signed with it are taken from then on.",
+            "\"2026-12-01T00:00:00Z\"",
+        ),
+        may(
+            "until",
+            Kind::Moment,
+            "for as long as it is listed",
+            "And until then.",
+            "\"2027-01-01T00:00:00Z\"",
+        ),
+    ],
+};
+
+static TENANT: Table = Table {
+    name: "tenant",
+    about: "Somebody on whose behalf tokens speak.",
+    fields: &[
+        must("name", Kind::Name, "What tokens say in `sub`.", "\"broker\""),
+        must("accounts", Kind::Accounts, "The accounts that it may name.", "[\"00000000000004d2\"]"),
+        may("classes", Kind::Names, "all that may be sent", "The classes that it may send.", "[\"quote\"]"),
+    ],
+};
+
 static SIDECAR_LIMITS: Table = Table {
     name: "limits of a sidecar",
     about: "What each sidecar may take of its machine.",
@@ -543,6 +621,7 @@
             "For a hall, the others in order of nearness.",
             "",
         ),
+        may("identity", Kind::Table(&IDENTITY), "nobody is asked who they are", "Who may call, and how they prove it.", ""),
         may("pool", Kind::Tables(&POOL, 64), "requests go to any node", "Pools of nodes.", ""),
         may("route", Kind::Tables(&ROUTE, 250), "requests go to any node", "Where classes go.", ""),
     ],
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 //! ([`source`], [`reader`], by the tables of [`form`]), checked ([`check`], all together in a [`set`]) and compiled into
 //! what a sidecar is told ([`render`]). The platform's own settings are read by [`settings`]. No sockets and no clock.
 
+pub mod callers;
 pub mod check;
 pub mod codes;
 pub mod diagnostic;
--- a/crates/config/src/operator.rs
+++ b/crates/config/src/operator.rs
@@ -10,7 +10,7 @@
 /// What such a file says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Operator {
-    /// Pools and routes, as keys and values of what is enforced.
+    /// Pools, routes and callers, as keys and values of what is enforced.
     pub ways: Pairs,
     /// The control socket.
     pub control: Option<PathBuf>,
@@ -44,6 +44,7 @@
     let (pools, routes) = ways_from(&app, &site, site.halls.get(hall));
     let mut ways = Pairs::new();
     route(&mut ways, &pools, &routes);
+    app.identity.iter().for_each(|identity| crate::callers::put(&mut ways, identity));
     let place = |p: &Option<crate::reader::At<String>>| p.as_ref().map(|p| PathBuf::from(&p.value));
     let file = file.content;
     Ok(Operator {
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -265,6 +265,7 @@
             Kind::Names => self.names(field, value, span),
             Kind::Wholes(least, most) => self.wholes(field, least, most, value, span),
             Kind::NodeAddresses => self.node_addresses(field, value, span),
+            Kind::Accounts => self.accounts(field, value, span),
             _ => {
                 let Some(text) = value.as_str() else {
                     return self.type_wanted(field, "text in quotes", value, span);
@@ -324,6 +325,8 @@
             Kind::Time => (Code::BadTime, values::time(text).map(Value::Whole)),
             Kind::Size => (Code::BadSize, values::size(text).map(Value::Whole)),
             Kind::Address => (Code::BadAddress, values::address(text).map(Value::Address)),
+            Kind::PublicKey => (Code::BadKey, values::public_key(text).map(Value::Text)),
+            Kind::Moment => (Code::BadMoment, values::moment(text).map(Value::Whole)),
             Kind::NodeAddress => (Code::BadAddress, Address::read(text).map(Value::NodeAddress)),
             Kind::Listener => (Code::BadAddress, values::listener(text).map(Value::Listener)),
             Kind::Path => (Code::BadPath, values::path(text).map(|()| Value::Text(text.into()))),
@@ -435,6 +438,22 @@
         Some(Value::Names(names))
     }
 
+    fn accounts(&mut self, field: &Field, value: &DeValue, span: Range<usize>) -> Option<Value> {
+        let list = self.list(field, "a list of accounts", value, span)?;
+        let mut accounts: Vec<At<u64>> = Vec::new();
+        for one in list {
+            match one.get_ref().as_str().map(values::account) {
+                Some(Ok(id)) if accounts.iter().any(|a| a.value == id) => {
+                    self.wrong(Code::NameTwice, one.span(), format!("account {id:016x} is listed twice"));
+                }
+                Some(Ok(id)) => accounts.push(At { value: id, span: one.span() }),
+                Some(Err(why)) => drop(self.wrong(Code::BadAccount, one.span(), why)),
+                None => self.type_told(field, "a list of accounts in quotes", one.get_ref(), one.span()),
+            }
+        }
+        Some(Value::Wholes(accounts))
+    }
+
     fn node_addresses(&mut self, field: &Field, value: &DeValue, span: Range<usize>) -> Option<Value> {
         let list = self.list(field, "a list of addresses", value, span)?;
         let mut places = Vec::new();
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -168,6 +168,27 @@
     Ok(Listener::Tcp(address))
 }
 
+/// The public half of an Ed25519 pair.
+///
+/// # Errors
+///
+/// With what is wrong, in words.
+pub fn public_key(text: &str) -> Result<String, String> {
+    wrenfork_identity::trust::public(text)
+        .map(|_| text.to_string())
+        .ok_or_else(|| "this is no public key of Ed25519: 64 hex digits in lower case".to_string())
+}
+
+/// A moment, in seconds of Unix time.
+///
+/// # Errors
+///
+/// With what is wrong, in words.
+pub fn moment(text: &str) -> Result<u64, String> {
+    wrenfork_identity::token::moment(text)
+        .ok_or_else(|| format!("a moment is written like \"2026-12-01T00:00:00Z\", not \"{text}\""))
+}
+
 /// An account's number.
 ///
 /// # Errors
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -252,6 +252,7 @@
             format!("{of} \"{}\" goes: its requests are refused", d.old.as_deref().unwrap_or(""))
         }
         _ if d.key.starts_with("accounts.") && d.new.is_none() => "an account goes: its requests are refused".into(),
+        _ if d.key.starts_with("identity.") && d.new.is_none() => "who may call changes: its callers are refused".into(),
         ("discovery", _) => "discovery moves: the list of nodes is taken from another place".into(),
         ("sends", _) => "the classes that may be sent change".into(),
         _ => return None,
--- /dev/null
+++ b/crates/ctl/src/keys.rs
@@ -0,0 +1,194 @@
+//! `wrenctl keys`: keys that sign tokens. Private halves stand in files that their owner alone may read, and nowhere else.
+
+use crate::style;
+use anstream::println;
+use clap::Subcommand;
+use ed25519_dalek::SigningKey;
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Write};
+use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use wrenfork_config::callers;
+use wrenfork_config::set::Set;
+use wrenfork_identity::token::{sign, told, Claims};
+use wrenfork_identity::trust::{written, Doubt, Stage};
+use zeroize::Zeroizing;
+
+/// What could not be done or read.
+const FAILED: u8 = 2;
+/// Half a private key's file: 32 bytes in hex.
+const SEED: usize = 32;
+
+#[derive(Subcommand)]
+pub enum Verb {
+    /// Makes a key: the private half into a file that did not exist, the public half to standard output
+    New {
+        /// The file
+        #[arg(value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// Signs a token and prints it
+    Token {
+        /// The private half
+        #[arg(long, value_name = "FILE")]
+        key: PathBuf,
+        /// Issuer and key, as the operator's file names them
+        #[arg(long, value_name = "ISSUER/KEY")]
+        kid: String,
+        /// Whom it is for
+        #[arg(long, value_name = "NAME")]
+        audience: String,
+        /// On whose behalf
+        #[arg(long, value_name = "NAME")]
+        tenant: String,
+        /// How long it holds
+        #[arg(long = "for", value_name = "TIME", default_value = "1h", value_parser = crate::change::span)]
+        lasts: Duration,
+        /// An account that it may name; without any, all of the tenant's
+        #[arg(long, value_name = "HEX")]
+        account: Vec<String>,
+        /// A class that it may send; without any, all of the tenant's
+        #[arg(long, value_name = "NAME")]
+        class: Vec<String>,
+    },
+    /// Tells where each key of some files stands: exit 1 where one ends soon, or a rotation is not whole
+    Status {
+        /// The site with its applications, or an ingress's file
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// How many days before it an end is told
+        #[arg(long, value_name = "DAYS", default_value_t = 14)]
+        early: u32,
+    },
+}
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs())
+}
+
+fn new(out: &Path) -> Result<ExitCode, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", out.display());
+    let mut seed = Zeroizing::new([0u8; SEED]);
+    getrandom::fill(&mut *seed).map_err(|e| format!("no random numbers: {e}"))?;
+    let text: Zeroizing<String> = Zeroizing::new(seed.iter().map(|b| format!("{b:02x}")).collect());
+    let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(out).map_err(told)?;
+    file.write_all(text.as_bytes())
+        .and_then(|()| file.write_all(b"\n"))
+        .and_then(|()| file.sync_all())
+        .map_err(told)?;
+    println!("{}", written(&SigningKey::from_bytes(&seed).verifying_key()));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads a private half. Others who may read or write the file could have it, or put theirs there.
+fn private(path: &Path) -> Result<SigningKey, String> {
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let mut file = File::open(path).map_err(|e| told(&e))?;
+    let about = file.metadata().map_err(|e| told(&e))?;
+    if about.mode() & 0o077 != 0 {
+        return Err(told(&format!(
+            "others may read or write it (mode {:04o}): chmod 600",
+            about.mode() & 0o7777
+        )));
+    }
+    if about.uid() != rustix::process::geteuid().as_raw() {
+        return Err(told(&"it belongs to another user"));
+    }
+    let mut text = Zeroizing::new(Vec::with_capacity(2 * SEED + 2));
+    (&mut file).take(2 * SEED as u64 + 2).read_to_end(&mut text).map_err(|e| told(&e))?;
+    let hex = text.strip_suffix(b"\n").unwrap_or(&text);
+    let digit = |b: u8| char::from(b).to_digit(16).map(|d| d as u8);
+    let byte = |pair: &[u8]| Some(digit(pair[0])? << 4 | digit(pair[1])?);
+    let bytes: Option<Vec<u8>> = (hex.len() == 2 * SEED).then(|| hex.chunks(2).map(byte).collect()).flatten();
+    let seed = Zeroizing::new(bytes.ok_or_else(|| told(&"this is no private key: 64 hex digits"))?);
+    let seed: &[u8; SEED] = seed.as_slice().try_into().map_err(|_| told(&"this is no private key"))?;
+    Ok(SigningKey::from_bytes(seed))
+}
+
+fn token(verb: Verb) -> Result<ExitCode, String> {
+    let Verb::Token { key, kid, audience, tenant, lasts, account, class } = verb else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let with = private(&key)?;
+    let (issuer, name) = kid.split_once('/').ok_or("--kid is ISSUER/KEY")?;
+    let accounts =
+        account.iter().map(|a| wrenfork_config::values::account(a)).collect::<Result<Vec<_>, _>>()?;
+    let from = now();
+    let claims = Claims {
+        issuer: issuer.into(),
+        key: name.into(),
+        public: with.verifying_key(),
+        audience,
+        tenant,
+        accounts: (!accounts.is_empty()).then_some(accounts),
+        classes: (!class.is_empty()).then_some(class),
+        from,
+        until: from + lasts.as_secs(),
+    };
+    println!("{}", sign(&claims, &with));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn status(files: &[PathBuf], early: u32) -> Result<ExitCode, String> {
+    let set = Set::read(files);
+    if set.refused() {
+        return Ok(crate::config::print::text(&set));
+    }
+    let apps = set.applications().into_iter().map(|a| a.content.identity.clone());
+    let ingresses = set.ingresses().into_iter().map(|i| i.content.ways.identity.clone());
+    let (at, mut wrong) = (now(), false);
+    let mut table = style::table(&["issuer", "key", "stands", "from", "until"]);
+    let mut said = Vec::new();
+    for identity in apps.chain(ingresses).flatten() {
+        let trust = callers::trust(&identity);
+        for (issuer, key) in trust.issuers.iter().flat_map(|i| i.keys.iter().map(move |k| (&i.name, k))) {
+            let stands = match key.stage(at) {
+                Stage::Coming => "coming",
+                Stage::Used => "used",
+                Stage::Leaving => "leaving",
+                Stage::Withdrawn => "withdrawn",
+            };
+            let moment = |t: Option<u64>| t.filter(|t| *t > 0).map_or("-".into(), told);
+            table.add_row([
+                issuer.clone(),
+                key.name.clone(),
+                stands.into(),
+                moment(Some(key.from)),
+                moment(key.until),
+            ]);
+            let soon = key.until.is_some_and(|u| u > at && u <= at + u64::from(early) * 86_400);
+            let next = trust.issuers.iter().filter(|i| i.name == *issuer).flat_map(|i| &i.keys);
+            if soon && !next.into_iter().any(|k| k.until.is_none() && k.taken(at)) {
+                said.push(format!("key {issuer}/{} ends soon, and no other one is used yet", key.name));
+            }
+        }
+        said.extend(trust.rotation(at).iter().map(|doubt| match doubt {
+            Doubt::NoKey(issuer) => {
+                format!("no key of issuer {issuer} is taken now: all of its tokens are refused")
+            }
+            Doubt::Gap(issuer, from) => format!("issuer {issuer} has no key from {} on", told(*from)),
+            Doubt::Twice(issuer, key) => format!("key {issuer}/{key} is there twice"),
+            Doubt::Never(issuer, key) => format!("key {issuer}/{key} ends before it begins"),
+        }));
+    }
+    println!("{table}");
+    for line in said {
+        wrong = true;
+        println!("{} {line}", style::bad("doubt:"));
+    }
+    Ok(if wrong { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+pub fn main(verb: Verb) -> ExitCode {
+    let done = match verb {
+        Verb::New { out } => new(&out),
+        Verb::Status { files, early } => status(&files, early),
+        verb @ Verb::Token { .. } => token(verb),
+    };
+    done.unwrap_or_else(|why| {
+        anstream::eprintln!("{} {why}", style::bad("error:"));
+        ExitCode::from(FAILED)
+    })
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod change;
 mod config;
 mod fleet;
+mod keys;
 mod reload;
 mod route;
 mod style;
@@ -35,6 +36,9 @@
     Apply(change::apply::Options),
     /// Goes back to what was enforced under a number before, as a new change
     Rollback(change::rollback::Options),
+    /// Keys that sign tokens: made, used, and where each stands
+    #[command(subcommand)]
+    Keys(keys::Verb),
     /// Has an ingress read its files again, and tells whether it took them
     Reload(reload::Options),
     /// Tells who planned, applied and rolled back what
@@ -49,6 +53,7 @@
         Verb::Plan(options) => change::plan::main(&options),
         Verb::Apply(options) => change::apply::main(&options),
         Verb::Rollback(options) => change::rollback::main(&options),
+        Verb::Keys(verb) => keys::main(verb),
         Verb::Reload(options) => reload::main(&options),
         Verb::History(options) => change::history::main(&options),
     }
--- a/crates/identity/src/token.rs
+++ b/crates/identity/src/token.rs
@@ -73,12 +73,17 @@
     out
 }
 
+/// Reads a moment in UTC, such as `2026-12-01T00:00:00Z`.
+pub fn moment(text: &str) -> Option<Seconds> {
+    humantime::parse_rfc3339(text).ok()?.duration_since(UNIX_EPOCH).ok().map(|d| d.as_secs())
+}
+
 fn time(text: &str) -> Result<Seconds, Refusal> {
-    let at = humantime::parse_rfc3339(text).map_err(|_| Refusal::Form)?;
-    at.duration_since(UNIX_EPOCH).map(|d| d.as_secs()).map_err(|_| Refusal::Form)
+    moment(text).ok_or(Refusal::Form)
 }
 
-fn told(at: Seconds) -> String {
+/// A moment as it is written.
+pub fn told(at: Seconds) -> String {
     // Years beyond four digits can't be told; no token holds for so long.
     let at = SystemTime::UNIX_EPOCH + Duration::from_secs(at.min(253_402_300_799));
     humantime::format_rfc3339_seconds(at).to_string()
--- a/crates/identity/src/trust.rs
+++ b/crates/identity/src/trust.rs
@@ -4,6 +4,21 @@
 use crate::Seconds;
 use ed25519_dalek::VerifyingKey;
 
+/// Reads a public key from 64 hex digits in lower case; none where it is none, or one of the weak ones that more than one
+/// signature fits.
+pub fn public(text: &str) -> Option<VerifyingKey> {
+    let hex = text.len() == 64 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+    let byte = |n: usize| u8::from_str_radix(&text[2 * n..2 * n + 2], 16).ok();
+    let bytes: Vec<u8> = hex.then(|| (0..32).map_while(byte).collect())?;
+    let key = VerifyingKey::from_bytes(&bytes.try_into().ok()?).ok()?;
+    (!key.is_weak()).then_some(key)
+}
+
+/// A key as it is written.
+pub fn written(key: &VerifyingKey) -> String {
+    key.as_bytes().iter().map(|b| format!("{b:02x}")).collect()
+}
+
 /// A key of an issuer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Key {
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -1,5 +1,7 @@
 //! The clients' side: the listener, the connections, and the answers in the order of their requests.
 
+use crate::config::Callers;
+use crate::door::{Door, Proof};
 use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -74,6 +76,8 @@
     since: Micros,
     /// When what `buf` holds of a command began to come; with none, when it was accepted.
     begun: Micros,
+    /// What it has proved of who it is.
+    proof: Option<Proof>,
     /// Bad commands since the last good one.
     errors: u32,
     /// What it still says is not read: it is closed once all before that is answered.
@@ -163,6 +167,8 @@
     tokens: fn(usize) -> Token,
     /// What requests are read by; another one with another generation.
     pub words: Vocabulary,
+    /// Who may come in; none where nobody is asked.
+    door: Option<Door>,
     chunk: Vec<u8>,
     args: Vec<Range<usize>>,
     /// Connections with something to write, and those to be read again.
@@ -191,6 +197,7 @@
             next_id: 0,
             tokens,
             words,
+            door: None,
             chunk: vec![0; CHUNK],
             args: Vec::new(),
             dirty: Vec::new(),
@@ -205,6 +212,14 @@
         }
     }
 
+    /// Asks callers who they are from now on, or nobody.
+    pub fn ask(&mut self, callers: Option<Callers>) {
+        match (&mut self.door, callers) {
+            (Some(door), Some(callers)) => door.change(callers),
+            (door, callers) => *door = callers.map(Door::new),
+        }
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
@@ -269,6 +284,7 @@
             counted: 0,
             since: now,
             begun: now,
+            proof: None,
             errors: 0,
             closing: false,
             linger_until: surplus.then_some(now + LINGER),
@@ -409,14 +425,22 @@
                             c.closing = true;
                             at = c.buf.len();
                         }
-                        Some(Ok(call)) => {
-                            self.next_id += 1;
-                            let id = RequestId(self.next_id);
-                            let origin = Origin { key, serial: c.serial, slot: c.first + slots };
-                            c.errors = 0;
-                            c.slots.push_back(Slot::Waiting(id));
-                            self.incoming.push_back(Incoming::Call(id, origin, call));
-                            continue;
+                        Some(Ok(mut call)) => {
+                            let asked = (call.request.customer.0, call.request.class);
+                            let token = call.take_token();
+                            let may = |d: &mut Door| d.may(&mut c.proof, token.as_deref(), asked, now);
+                            if let Some(Err(why)) = self.door.as_mut().map(may) {
+                                c.answer_now(format!("-DENIED {why}\r\n").as_bytes());
+                                c.strike();
+                            } else {
+                                self.next_id += 1;
+                                let id = RequestId(self.next_id);
+                                let origin = Origin { key, serial: c.serial, slot: c.first + slots };
+                                c.errors = 0;
+                                c.slots.push_back(Slot::Waiting(id));
+                                self.incoming.push_back(Incoming::Call(id, origin, call));
+                                continue;
+                            }
                         }
                         Some(Err(why)) => {
                             let mut text = Vec::new();
@@ -428,6 +452,26 @@
                             c.answer_now(b"+PONG\r\n");
                             c.errors = 0;
                         }
+                        None if self.door.is_some()
+                            && part[self.args[0].clone()].eq_ignore_ascii_case(b"AUTH")
+                            && self.args.len() == 2 =>
+                        {
+                            let token = &part[self.args[1].clone()];
+                            match self.door.as_mut().map(|d| d.auth(token, now)) {
+                                Some(Ok(proof)) => {
+                                    c.proof = Some(proof);
+                                    c.answer_now(b"+OK\r\n");
+                                    c.errors = 0;
+                                }
+                                // What it had proved before holds no longer: it wants to be somebody else.
+                                Some(Err(why)) => {
+                                    c.proof = None;
+                                    c.answer_now(format!("-DENIED {why}\r\n").as_bytes());
+                                    c.strike();
+                                }
+                                None => {}
+                            }
+                        }
                         None => {
                             c.answer_now(b"-ERR unknown command\r\n");
                             c.strike();
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -6,6 +6,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+pub use wrenfork_config::callers::Callers;
 use wrenfork_config::enforced;
 use wrenfork_config::operator::Operator;
 use wrenfork_config::set::Set;
@@ -45,6 +46,8 @@
     pub settings: Settings,
     pub vocabulary: Vocabulary,
     pub routes: Table,
+    /// Who may call; none where nobody is asked.
+    pub callers: Option<Callers>,
     pub discovery: SocketAddr,
     pub connect_timeout: Micros,
     pub keepalive: Micros,
@@ -105,9 +108,12 @@
     let discovery = state.0.get("discovery").ok_or("discovery is missing")?;
     let (connect_timeout, keepalive) =
         (conf.micros("limits.connect_timeout_us")?, conf.micros("limits.keepalive_us")?);
-    let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity };
+    let names: Vec<String> = classes.iter().map(|c| c.0.clone()).collect();
+    let callers = wrenfork_config::callers::read(&state.0, &names)?;
+    let asks = callers.is_some();
+    let vocabulary = Vocabulary { classes, plans, most_units, gateways, identity, asks };
     let discovery = address(discovery, "discovery")?;
-    Ok(Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive })
+    Ok(Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive })
 }
 
 /// Where clients find an ingress.
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -158,7 +158,7 @@
         let clock = Clock::new();
         let now = clock.now();
         let control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
-        let Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive } =
+        let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
             config.enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let budget = Budget::new(config.sockets)?;
@@ -196,6 +196,7 @@
             peers_more: false,
             shutdown: Shutdown::new(longest),
         };
+        ingress.clients.ask(callers);
         ingress.take_roster(config.known, RosterKind::Cached);
         ingress.pump();
         tracing::info!("listening at {}", config.listen);
@@ -313,7 +314,9 @@
     /// Enforces a new generation: requests that are open end under the one in which they came. What they were read by comes
     /// back.
     fn switch(&mut self, enforced: Enforced) -> Vocabulary {
-        let Enforced { settings, vocabulary, routes, discovery, connect_timeout, keepalive } = enforced;
+        let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
+            enforced;
+        self.clients.ask(callers);
         self.limits = settings.limits.clone();
         self.connect_timeout = connect_timeout;
         self.requests.allow(settings.limits.max_open as usize);
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod counter;
 mod discovery;
+mod door;
 mod ingress;
 mod logging;
 mod peers;
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -85,8 +85,10 @@
         let whole = match &self.told {
             // Of the platform's own file discovery's address, and all that the operator's says.
             Told::Platform(..) => {
-                let ways =
-                    |key: &str| key.starts_with("pools.") || key.starts_with("routes.") || key == "discovery";
+                let ways = |key: &str| {
+                    ["pools.", "routes.", "identity."].iter().any(|list| key.starts_with(list))
+                        || key == "discovery"
+                };
                 let mut wanted = self.has.state.clone();
                 wanted.retain(|key, _| !ways(key));
                 wanted.extend(config.told.state.into_iter().filter(|(key, _)| ways(key)));
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -24,6 +24,8 @@
     pub gateways: u64,
     /// Whose requests these are, where that is known whatever they claim.
     pub identity: Option<Identity>,
+    /// Callers are asked who they are: an option `auth` is a token.
+    pub asks: bool,
 }
 
 /// An application's accounts, at a sidecar of its own: what a request claims of plan and spread counts for nothing.
@@ -63,6 +65,21 @@
     head: usize,
     before: usize,
     after: usize,
+    token: Option<Vec<u8>>,
+}
+
+/// Options without the token among them, which goes to no backend, and that token.
+type Shown = (Vec<u8>, Vec<u8>);
+
+fn without_token(options: &[u8]) -> Result<Option<Shown>, String> {
+    const NAME: &[u8] = b"auth=";
+    let mut tokens = options.split(|b| *b == b',').filter(|o| o.starts_with(NAME));
+    let Some(token) = tokens.next() else { return Ok(None) };
+    if tokens.next().is_some() {
+        return Err("auth is given twice".into());
+    }
+    let rest: Vec<&[u8]> = options.split(|b| *b == b',').filter(|o| !o.starts_with(NAME)).collect();
+    Ok(Some((rest.join(&b','), token[NAME.len()..].to_vec())))
 }
 
 fn digits(text: &[u8], most: u64, what: &str) -> Result<u64, String> {
@@ -115,6 +132,9 @@
         if !graphic(id) {
             return Err("the id is no plain word".into());
         }
+        let shown = if words.asks { without_token(options)? } else { None };
+        let (rest, token) = shown.map_or((None, None), |(rest, token)| (Some(rest), Some(token)));
+        let options = rest.as_deref().unwrap_or(options);
         let own = match &words.identity {
             Some(identity) => {
                 let own = identity.accounts.get(&customer_id).copied();
@@ -197,7 +217,12 @@
         bytes.extend_from_slice(&options[place.end..]);
         let after = bytes.len();
         args[4..].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
-        Ok(Call { request, wait, id, bytes, head, before, after })
+        Ok(Call { request, wait, id, bytes, head, before, after, token })
+    }
+
+    /// The token that came with it; it is kept no longer.
+    pub fn take_token(&mut self) -> Option<Vec<u8>> {
+        self.token.take()
     }
 
     /// The id that the client gave it.
@@ -230,7 +255,7 @@
         let classes =
             vec![("quote".into(), Repeat::Safe), ("save".into(), keyed), ("refer".into(), Repeat::Once)];
         let plans = vec!["starter".into(), "business".into()];
-        Vocabulary { classes, plans, most_units: 4.0, gateways: 4, identity: None }
+        Vocabulary { classes, plans, most_units: 4.0, gateways: 4, identity: None, asks: false }
     }
 
     fn read(parts: &[&str]) -> Result<Call, String> {
