Bad tokens bounded by where they come from; wrenctl keys rotate

Need: each forged token cost a signature check, so that a flood of them could take the CPU from referrals; and a rotation by hand is easily made in the wrong order.

Change: a source (an address, half an IPv6 one, a user of this machine) has twenty bad tokens checked and two a second after that (I111); what is cached is taken all the same. keys rotate lists the new key from a later time on and ends the others after that, and keeps the rest of the file.

--- a/crates/ctl/src/keys.rs
+++ b/crates/ctl/src/keys.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use toml_edit::{value, DocumentMut, Item, Table};
 use wrenfork_config::callers;
 use wrenfork_config::set::Set;
 use wrenfork_identity::token::{sign, told, Claims};
@@ -53,6 +54,27 @@
         #[arg(long, value_name = "NAME")]
         class: Vec<String>,
     },
+    /// Lists a new key in an application's or an ingress's file, taken from a later time on, and gives those in use an end
+    Rotate {
+        /// The file; all else in it stays as it is
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Whose key
+        #[arg(long, value_name = "NAME")]
+        issuer: String,
+        /// The new key's name
+        #[arg(long, value_name = "NAME")]
+        name: String,
+        /// The new key's public half, as `keys new` printed it
+        #[arg(long, value_name = "HEX")]
+        public: String,
+        /// When it is taken: time to apply the change everywhere before anybody signs with it
+        #[arg(long, value_name = "TIME", default_value = "10m", value_parser = crate::change::span)]
+        lead: Duration,
+        /// How long the old ones are taken beside it: the longest time that a token holds for, at the least
+        #[arg(long, value_name = "TIME", default_value = "24h", value_parser = crate::change::span)]
+        overlap: Duration,
+    },
     /// Tells where each key of some files stands: exit 1 where one ends soon, or a rotation is not whole
     Status {
         /// The site with its applications, or an ingress's file
@@ -131,6 +153,50 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn rotate(verb: Verb) -> Result<ExitCode, String> {
+    let Verb::Rotate { file, issuer, name, public, lead, overlap } = verb else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let told_of = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+    wrenfork_config::values::public_key(&public)?;
+    let text = std::fs::read_to_string(&file).map_err(|e| told_of(&e))?;
+    let mut document: DocumentMut = text.parse().map_err(|e| told_of(&e))?;
+    let issuers =
+        document.get_mut("identity").and_then(|i| i.get_mut("issuer")).and_then(Item::as_array_of_tables_mut);
+    let named = |t: &&mut Table| t.get("name").and_then(Item::as_str) == Some(&issuer);
+    let found = issuers.and_then(|list| list.iter_mut().find(named));
+    let found = found.ok_or_else(|| told_of(&format!("there is no issuer \"{issuer}\"")))?;
+    let keys = found.get_mut("key").and_then(Item::as_array_of_tables_mut);
+    let keys = keys.ok_or_else(|| told_of(&format!("issuer \"{issuer}\" has no [[identity.issuer.key]]")))?;
+    if keys.iter().any(|k| k.get("name").and_then(Item::as_str) == Some(&name)) {
+        return Err(told_of(&format!("issuer \"{issuer}\" has a key \"{name}\"")));
+    }
+    let from = now() + lead.as_secs();
+    let until = told(from + overlap.as_secs());
+    for key in keys.iter_mut().filter(|k| !k.contains_key("until")) {
+        key.insert("until", value(&until));
+    }
+    let mut new = Table::new();
+    for (key, text) in [("name", name.as_str()), ("public", &public), ("from", &told(from))] {
+        new.insert(key, value(text));
+    }
+    keys.push(new);
+    // Whole or not at all, with the mode that it had: an ingress may read it at any moment.
+    let folder = file.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let mut written = tempfile::NamedTempFile::new_in(folder).map_err(|e| told_of(&e))?;
+    let mode = std::fs::metadata(&file).map_err(|e| told_of(&e))?.permissions();
+    let done = written.write_all(document.to_string().as_bytes()).and_then(|()| written.as_file().sync_all());
+    done.and_then(|()| written.as_file().set_permissions(mode)).map_err(|e| told_of(&e))?;
+    written.persist(&file).map_err(|e| told_of(&e.error))?;
+    println!(
+        "{} {issuer}/{name} is taken from {}, the others until {until}",
+        style::good("listed:"),
+        told(from)
+    );
+    println!("apply this file before that, then sign with the new key; to go back, apply the file as it was");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn status(files: &[PathBuf], early: u32) -> Result<ExitCode, String> {
     let set = Set::read(files);
     if set.refused() {
@@ -186,6 +252,7 @@
         Verb::New { out } => new(&out),
         Verb::Status { files, early } => status(&files, early),
         verb @ Verb::Token { .. } => token(verb),
+        verb @ Verb::Rotate { .. } => rotate(verb),
     };
     done.unwrap_or_else(|why| {
         anstream::eprintln!("{} {why}", style::bad("error:"));
--- a/crates/ctl/tests/keys.rs
+++ b/crates/ctl/tests/keys.rs
@@ -93,3 +93,42 @@
     let (code, said) = status(&[("1", until(now + 3_600)), ("2", from(now + 7_200))]);
     assert!(code == Some(1) && said.contains("C409"), "a gap is refused: {said}");
 }
+
+/// Guards against a rotation that leaves a time without a key, or loses what else stands in the file.
+#[test]
+fn a_rotation_lists_the_new_key_before_the_old_one_ends_and_keeps_the_rest_of_the_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("wrenfork.toml");
+    let path = file.to_str().unwrap();
+    let (old, new) = (
+        "d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a",
+        "3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c",
+    );
+    let text = format!(
+        "# ours\nversion = 1\nkind = \"ingress\"\n\n[identity]\naudience = \"b\" # as ever\n\n[[identity.issuer]]\nname = \"desk\"\n\n\
+         [[identity.issuer.key]]\nname = \"1\"\npublic = \"{old}\"\n\n[[identity.tenant]]\nname = \"t\"\n\
+         accounts = [\"0000000000000007\"]\n"
+    );
+    fs::write(&file, &text).unwrap();
+    let rotate = |issuer: &str, name: &str, public: &str| {
+        run(&["keys", "rotate", path, "--issuer", issuer, "--name", name, "--public", public])
+    };
+    for (issuer, name, public) in [("shop", "2", new), ("desk", "1", new), ("desk", "2", "12")] {
+        let (code, said) = rotate(issuer, name, public);
+        assert!(code == Some(2) && fs::read_to_string(&file).unwrap() == text, "{said}");
+    }
+    let (code, said) = rotate("desk", "2", new);
+    assert_eq!(code, Some(0), "{said}");
+    let changed = fs::read_to_string(&file).unwrap();
+    assert!(
+        changed.starts_with("# ours\n") && changed.contains("# as ever") && changed.contains(new),
+        "{changed}"
+    );
+    let (code, said) = run(&["config", "check", path]);
+    assert_eq!(code, Some(0), "{said}");
+    let (_, said) = run(&["keys", "status", path]);
+    assert!(said.contains("leaving") && said.contains("coming") && !said.contains("has no key"), "{said}");
+    // And once more, before the first one has ended.
+    assert_eq!(rotate("desk", "3", old).0, Some(0));
+    assert_eq!(run(&["config", "check", path]).0, Some(0));
+}
--- a/crates/identity/src/cache.rs
+++ b/crates/identity/src/cache.rs
@@ -25,12 +25,18 @@
         Cache { known: HashMap::new(), order: VecDeque::new(), most: most.max(1), checked: 0 }
     }
 
-    /// What a token says, checked now or before.
+    /// What a token says, checked now or before; one that was not is looked at only where that is allowed.
     ///
     /// # Errors
     ///
     /// The reason; a token that does not hold any more is forgotten.
-    pub fn verify(&mut self, text: &[u8], trust: &Trust, now: Seconds) -> Result<Arc<Claims>, Refusal> {
+    pub fn verify(
+        &mut self,
+        text: &[u8],
+        trust: &Trust,
+        now: Seconds,
+        allowed: bool,
+    ) -> Result<Arc<Claims>, Refusal> {
         let digest: [u8; 32] = Sha256::digest(text).into();
         if let Some(claims) = self.known.get(&digest) {
             return match holds(claims, trust, now) {
@@ -43,6 +49,9 @@
                 }
             };
         }
+        if !allowed {
+            return Err(Refusal::Crowd);
+        }
         self.checked += 1;
         let claims = Arc::new(verify(text, trust, now)?);
         if self.known.len() >= self.most {
--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cache;
 pub mod refusal;
 pub mod rights;
+pub mod sources;
 pub mod token;
 pub mod trust;
 
--- a/crates/identity/src/refusal.rs
+++ b/crates/identity/src/refusal.rs
@@ -25,6 +25,8 @@
     Early,
     /// It holds for longer than a token may.
     TooLasting,
+    /// It was not looked at: too many bad ones came from there.
+    Crowd,
     /// Whoever it names is no tenant here.
     Tenant,
     /// The tenant may not name this account.
@@ -37,7 +39,7 @@
 
 impl Refusal {
     /// All of them.
-    pub const ALL: [Refusal; 15] = [
+    pub const ALL: [Refusal; 16] = [
         Refusal::Nobody,
         Refusal::Form,
         Refusal::Kind,
@@ -49,6 +51,7 @@
         Refusal::Expired,
         Refusal::Early,
         Refusal::TooLasting,
+        Refusal::Crowd,
         Refusal::Tenant,
         Refusal::Account,
         Refusal::Class,
@@ -69,6 +72,7 @@
             Refusal::Expired => "I108",
             Refusal::Early => "I109",
             Refusal::TooLasting => "I110",
+            Refusal::Crowd => "I111",
             Refusal::Tenant => "I201",
             Refusal::Account => "I202",
             Refusal::Class => "I203",
@@ -90,6 +94,7 @@
             Refusal::Expired => "the token's time is over",
             Refusal::Early => "the token's time has not begun",
             Refusal::TooLasting => "the token holds for too long",
+            Refusal::Crowd => "too many bad tokens came from there: try again later",
             Refusal::Tenant => "the caller is no tenant here",
             Refusal::Account => "the caller may not use this account",
             Refusal::Class => "the caller may not send this class",
--- a/crates/identity/tests/tokens.rs
+++ b/crates/identity/tests/tokens.rs
@@ -159,7 +159,7 @@
     assert!(broken.len() >= 40, "{}", broken.len());
     for (what, token, why) in broken {
         assert_eq!(verify(&token, &trust, NOW).unwrap_err(), why, "{what}");
-        assert_eq!(Cache::new(4).verify(&token, &trust, NOW).unwrap_err(), why, "{what}, by the cache");
+        assert_eq!(Cache::new(4).verify(&token, &trust, NOW, true).unwrap_err(), why, "{what}, by the cache");
     }
     let good = verify(sign(&claims(), &signing(1)).as_bytes(), &trust, NOW).unwrap();
     assert_eq!(good, claims());
@@ -191,26 +191,31 @@
     let leaving = Claims { key: "leaving".into(), ..claims() };
     let token = sign(&leaving, &signing(3));
     for _ in 0..10 {
-        cache.verify(token.as_bytes(), &trust, NOW).unwrap();
+        cache.verify(token.as_bytes(), &trust, NOW, true).unwrap();
     }
     assert_eq!(cache.checked, 1);
-    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW + 60), Err(Refusal::Key));
+    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW + 60, true), Err(Refusal::Key));
     assert!(cache.is_empty());
-    cache.verify(token.as_bytes(), &trust, NOW).unwrap();
+    cache.verify(token.as_bytes(), &trust, NOW, true).unwrap();
     // Another key under the same name is another key.
     trust.issuers[0].keys[2] = key("leaving", 9, 0, None);
-    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW), Err(Refusal::Issuer));
-    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW), Err(Refusal::Signature));
+    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW, true), Err(Refusal::Issuer));
+    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW, true), Err(Refusal::Signature));
     for n in 0..20 {
         cache
             .verify(
                 sign(&Claims { tenant: format!("t{n}"), ..claims() }, &signing(1)).as_bytes(),
                 &trust,
                 NOW,
+                true,
             )
             .unwrap();
     }
     assert_eq!(cache.len(), 3);
+    // Where nothing may be checked any more, what is known is still taken.
+    let last = sign(&Claims { tenant: "t19".into(), ..claims() }, &signing(1));
+    assert!(cache.verify(last.as_bytes(), &trust, NOW, false).is_ok());
+    assert_eq!(cache.verify(token.as_bytes(), &trust, NOW, false), Err(Refusal::Crowd));
 }
 
 fn tenants() -> Tenants {
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -428,7 +428,8 @@
                         Some(Ok(mut call)) => {
                             let asked = (call.request.customer.0, call.request.class);
                             let token = call.take_token();
-                            let may = |d: &mut Door| d.may(&mut c.proof, token.as_deref(), asked, now);
+                            let shown = token.as_deref().map(|t| (t, c.stream.source()));
+                            let may = |d: &mut Door| d.may(&mut c.proof, shown, asked, now);
                             if let Some(Err(why)) = self.door.as_mut().map(may) {
                                 c.answer_now(format!("-DENIED {why}\r\n").as_bytes());
                                 c.strike();
@@ -457,7 +458,7 @@
                             && self.args.len() == 2 =>
                         {
                             let token = &part[self.args[1].clone()];
-                            match self.door.as_mut().map(|d| d.auth(token, now)) {
+                            match self.door.as_mut().map(|d| d.auth(token, c.stream.source(), now)) {
                                 Some(Ok(proof)) => {
                                     c.proof = Some(proof);
                                     c.answer_now(b"+OK\r\n");
--- a/crates/ingress/src/door.rs
+++ b/crates/ingress/src/door.rs
@@ -5,6 +5,7 @@
 use wrenfork_decision::Micros;
 use wrenfork_identity::cache::Cache;
 use wrenfork_identity::rights::Caller;
+use wrenfork_identity::sources::{Source, Sources};
 use wrenfork_identity::token::{holds, Claims};
 use wrenfork_identity::Refusal;
 
@@ -24,13 +25,14 @@
 pub struct Door {
     callers: Callers,
     cache: Cache,
+    sources: Sources,
     generation: u64,
 }
 
 impl Door {
     /// For these callers.
     pub fn new(callers: Callers) -> Door {
-        Door { callers, cache: Cache::new(MOST_CACHED), generation: 0 }
+        Door { callers, cache: Cache::new(MOST_CACHED), sources: Sources::default(), generation: 0 }
     }
 
     /// Others from now on; what was checked stays checked, and is held against the new ones with the next request.
@@ -43,14 +45,18 @@
         Ok(Proof { claims, caller, generation: self.generation })
     }
 
-    /// What a token proves at a time.
+    /// What a token proves at a time; `source` says where it came from.
     ///
     /// # Errors
     ///
     /// Why nothing.
-    pub fn auth(&mut self, token: &[u8], now: Micros) -> Result<Proof, Refusal> {
-        let claims = self.cache.verify(token, &self.callers.trust, now / 1_000_000)?;
-        self.proof(claims)
+    pub fn auth(&mut self, token: &[u8], source: Source, now: Micros) -> Result<Proof, Refusal> {
+        let (checked, may) = (self.cache.checked, self.sources.may(source, now));
+        let claims = self.cache.verify(token, &self.callers.trust, now / 1_000_000, may);
+        if claims.is_err() && self.cache.checked > checked {
+            self.sources.failed(source, now);
+        }
+        self.proof(claims?)
     }
 
     /// Whether a request may come in: by its own token, or else by what its connection has proved.
@@ -61,14 +67,14 @@
     pub fn may(
         &mut self,
         connection: &mut Option<Proof>,
-        token: Option<&[u8]>,
+        token: Option<(&[u8], Source)>,
         (account, class): (u64, u8),
         now: Micros,
     ) -> Result<(), Refusal> {
         let own;
         let proof = match (token, connection) {
-            (Some(token), _) => {
-                own = self.auth(token, now)?;
+            (Some((token, source)), _) => {
+                own = self.auth(token, source, now)?;
                 &own
             }
             (None, Some(proof)) => {
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -8,6 +8,7 @@
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 use wrenfork_dial::Address;
+use wrenfork_identity::sources;
 
 /// A listener.
 pub enum Listener {
@@ -97,6 +98,17 @@
         }
     }
 
+    /// Where a client's connection comes from.
+    pub fn source(&self) -> sources::Source {
+        match self {
+            Stream::Tcp(stream) => {
+                stream.peer_addr().map_or(sources::Source::Unknown, |at| sources::Source::of(at.ip()))
+            }
+            Stream::Unix(stream) => socket_peercred(stream)
+                .map_or(sources::Source::Unknown, |peer| sources::Source::User(peer.uid.as_raw())),
+        }
+    }
+
     /// Ends one direction or both.
     pub fn shutdown(&self, how: Shutdown) -> io::Result<()> {
         match self {
--- a/crates/ingress/tests/identity.rs
+++ b/crates/ingress/tests/identity.rs
@@ -200,3 +200,24 @@
     let log = site.ingress.log();
     assert!(log.contains("C115"), "{log}");
 }
+
+/// Guards against a flood of forged tokens that has each one's signature checked, and that shuts out who was here before.
+#[test]
+fn a_flood_of_forged_tokens_is_not_looked_at_for_long_and_known_callers_go_on() {
+    let backend = Backend::start(serve);
+    let site = Site::new(&backend, &listed("one", 1, ""));
+    let good = token(|_| (), 1);
+    let mut known = site.client();
+    assert_eq!(known.ask(&command(&["AUTH", &good])), "+OK");
+    let mut codes = std::collections::BTreeMap::<String, usize>::new();
+    for n in 0..120 {
+        let forged = token(|c| c.tenant = format!("t{n}"), 2);
+        let answer = site.client().ask(&command(&["AUTH", &forged]));
+        *codes.entry(answer[..12].to_string()).or_default() += 1;
+    }
+    // Twenty at once and two a second: how many came to be checked depends on the time that this took.
+    assert_eq!(codes.len(), 2, "{codes:?}");
+    assert!(codes["-DENIED I105"] >= 20 && codes["-DENIED I111"] >= 40, "{codes:?}");
+    assert_eq!(known.ask(&quote(OWN, "f1", "")), "value of f1", "its connection has proved enough");
+    assert_eq!(site.client().ask(&quote(OWN, "f2", &good)), "value of f2", "its token was checked before");
+}
