A management address with true figures; all settings are taken at SIGHUP, whole or not at all

Need: operators' staff read figures every second or two and retune while the ingress serves. Ruled out: lists that come late (the log says 'cannot ask' right behind the bad file, and 'back' with the next one).

Change: management.rs is the address (16 callers with descriptors of their own, one line, one answer, 5 s; who has not said its line makes room), ledger.rs the one place where ends are counted, by the name of the class. Ingress::answer counts each request that was let in; what is answered before that says so as it is answered. Backends count an attempt with its last byte. The module says how many backends are in rotation. Tally is gone; plan and apply read the same ledger. At SIGHUP the platform's file goes the way of the sidecar's: places kept by name, one switch; a file has one verdict, and only one that is cut off is looked at again. An open request keeps its attempts as well as its class (Open::most, in the module and in the ingress). Not taken: figures out of the log, which has no line for a request; a thread for the address, since its figures are the loop's.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -7,6 +7,10 @@
     Class, Discovery, GatewayNo, Group, Limits, Micros, Plan, Repeat, Report, Rules, Settings, SizeMeaning,
 };
 
+/// The longest deadline of a class, a day, and the most attempts for a request: more than either is a slip of the hand.
+const MOST_DEADLINE: Micros = 86_400_000_000;
+const MOST_ATTEMPTS: u64 = 1_000;
+
 /// The settings as they came: values by path, such as `grades.0.worth`.
 pub struct Conf(HashMap<String, String>);
 
@@ -56,6 +60,13 @@
         }
     }
 
+    fn positive(&self, key: &str, most: u64) -> Result<u64, String> {
+        match self.whole(key, most)? {
+            0 => Err(format!("setting {key} is 0: a whole number from 1 up to {most} is wanted")),
+            n => Ok(n),
+        }
+    }
+
     /// The time span at a path.
     pub fn micros(&self, key: &str) -> Result<Micros, String> {
         self.whole(key, u64::MAX >> 12)
@@ -101,7 +112,7 @@
         Ok(Class {
             aim: self.micros(&key("objective_us"))?,
             aim_stretch: self.number_or(&key("aim_stretch"), 0.0)?,
-            deadline: self.micros(&key("give_up_us"))?,
+            deadline: self.positive(&key("give_up_us"), MOST_DEADLINE)?,
             worth: self.number(&key("worth"))?,
             late_worth: self.number(&key("late_worth"))?,
             repeat,
@@ -136,7 +147,7 @@
             classes,
             plans,
             limits: Limits {
-                max_attempts: self.whole("limits.most_tries", u64::from(u32::MAX))? as u32,
+                max_attempts: self.positive("limits.most_tries", MOST_ATTEMPTS)? as u32,
                 second_copies: self.flag("limits.second_copies")?,
                 cancel: self.flag("limits.cancelling")?,
                 probes: self.flag("limits.may_probe")?,
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -47,7 +47,7 @@
 const SICK_ERRORS: f64 = 0.25; // share of errors in recent answers from which a backend gets a trickle only
 const REST: Micros = 500_000; // how long it rests before one attempt tries it again; doubles up to 2^3
 const DOUBT_TAU: f64 = 4.0; // memory of doubts in seconds: a sick backend is tried again by and by
-const DOUBTED: f64 = 0.4; // doubt from which a backend is looked past in the choice
+pub(crate) const DOUBTED: f64 = 0.4; // doubt from which a backend is looked past in the choice
 const FEW_PERIOD: f64 = 0.35; // report period in seconds up to which all of a customer's gateways are homes
 const UNHEARD: Micros = 350_000; // besides a period: how long a peer's use is under way (loss, chance)
 const NO_AGAIN: Micros = 500_000; // the same where it says that there is no room
@@ -64,7 +64,7 @@
         self.strikes = self.strikes.saturating_add(1);
     }
 
-    fn doubt(&self, now: Micros) -> f64 {
+    pub(crate) fn doubt(&self, now: Micros) -> f64 {
         // Most have never failed: a choice looks at many of them.
         if self.errors > 0.0 {
             self.errors * decay(self.at, now, DOUBT_TAU)
@@ -193,7 +193,8 @@
             return self.refuse(req.id, 0, act);
         }
         let unseen = self.meet(&req);
-        let open = Open { req, class: self.s.classes[class], arrived: self.now, ..Open::default() };
+        let (class, most) = (self.s.classes[class], self.s.limits.max_attempts);
+        let open = Open { req, class, most, arrived: self.now, ..Open::default() };
         let rung = self.pools[self.goal(&open)].rung;
         if !self.ladder_passes(req.customer, plan, unseen, rung) {
             return self.refuse(req.id, Micros::MAX, act);
@@ -780,7 +781,7 @@
         let class = &o.class;
         let allowed = class.repeat != Repeat::Once || o.may_have_run().is_none();
         let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
-        let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
+        let room = (o.attempts.len() as u32) < o.most;
         let single = o.out() == 0 || self.s.limits.second_copies;
         let cost = if o.out() == 0 { 1.0 } else { COPY_COST };
         let sent = allowed && useful && room && single && self.retries >= cost && self.resend(id, act);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -30,6 +30,8 @@
     pub req: Request,
     /// Its class as it was when the request came: it ends under that, whatever changes meanwhile.
     pub class: Class,
+    /// As many attempts as it may have, by the settings when it came.
+    pub most: u32,
     pub arrived: Micros,
     pub attempts: Vec<Attempt>,
     pub done: bool,
@@ -322,6 +324,15 @@
         (b.ready, rests.map(|(class, _)| class).collect())
     }
 
+    /// How many backends take new work as any other: ready, not rested for a class, and not looked past in each choice, by
+    /// themselves or with their zone.
+    pub fn in_rotation(&self) -> usize {
+        let (now, doubted) = (self.now, crate::control::DOUBTED);
+        let rests = |h: &Health| (h.strikes > 0 && now < h.rest_until) || h.doubt(now) > doubted;
+        let zone = |b: &Backend| self.zones.get(&b.listed.zone).is_some_and(|z| z.doubt(now) > doubted);
+        self.backends.ready().filter(|(_, b)| !zone(b) && !b.health.iter().any(rests)).count()
+    }
+
     /// A request is held no longer; what was granted for the last one lapses with it.
     pub(crate) fn let_go(&mut self, customer: CustomerId, id: RequestId, held: bool) {
         if let Some(c) = self.customers.get_mut(&customer).filter(|_| held) {
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -177,6 +177,8 @@
     tokens: fn(usize) -> Token,
     /// What ended since it was last looked at, in order.
     pub done: Vec<Done>,
+    /// Attempts whose command was written whole, since the start.
+    pub relayed: u64,
     /// Races in which something has happened, each by the connection that has the work.
     races: Vec<Link>,
 }
@@ -236,6 +238,7 @@
             staleness: Staleness::default(),
             tokens,
             done: Vec::new(),
+            relayed: 0,
             races: Vec::new(),
         }
     }
@@ -250,6 +253,11 @@
         self.conns.len()
     }
 
+    /// How many backends are listed.
+    pub fn listed(&self) -> usize {
+        self.pools.len()
+    }
+
     /// Takes over the addresses of a list.
     pub fn update(&mut self, roster: &Roster) {
         let mut absent: Vec<BackendId> = Vec::new();
@@ -571,6 +579,8 @@
                 Ok(n) => {
                     conn.written += n;
                     conn.connected = true;
+                    let attempt = matches!(conn.work, Some(Work::Attempt(..)));
+                    self.relayed += u64::from(attempt && conn.sent());
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // Not up yet, or no room: the socket will show as writable.
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Callers;
 use crate::door::{Door, Proof};
+use crate::ledger::End;
 use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -52,6 +53,8 @@
     Call(RequestId, Origin, Call),
     /// The client of a request that is not answered has gone.
     Gone(RequestId),
+    /// A request of the class at this place was answered here, before it had a name.
+    Ended(u8, End),
 }
 
 /// An answer, or the place for one that is still to come.
@@ -420,7 +423,8 @@
                     at += n;
                     (c.since, c.begun) = (now.max(c.since), now.max(c.begun));
                     match Call::read(part, &self.args, &self.words) {
-                        Some(Ok(_)) if c.surplus => {
+                        Some(Ok(call)) if c.surplus => {
+                            self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
                             c.answer_now(b"-BUSY\r\n");
                             c.closing = true;
                             at = c.buf.len();
@@ -433,6 +437,7 @@
                             if let Some(Err(why)) = self.door.as_mut().map(may) {
                                 c.answer_now(format!("-DENIED {why}\r\n").as_bytes());
                                 c.strike();
+                                self.incoming.push_back(Incoming::Ended(call.request.class, End::Failed));
                             } else {
                                 self.next_id += 1;
                                 let id = RequestId(self.next_id);
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::{Roster, Sites};
 use serde_json::Value;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,9 +15,14 @@
 use wrenfork_routes::Table;
 use wrenfork_wire::call::{Identity, Vocabulary};
 
+/// A file that ends before its time.
+const HALF: &str = "the file is no JSON, it is cut off";
+
 /// What an ingress is told.
 pub struct Config {
     pub listen: Listen,
+    /// Where operators call; nowhere if none is told.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     /// The most file descriptors.
     pub sockets: usize,
@@ -80,6 +85,13 @@
         return Err("setting tick_us is 0".into());
     }
     let names = conf.names("grades")?;
+    for (list, names) in [("grades", &names), ("contracts", &conf.names("contracts")?)] {
+        let mut seen = HashSet::new();
+        let twice = names.iter().enumerate().find(|(_, name)| !name.is_empty() && !seen.insert(*name));
+        if let Some((n, name)) = twice {
+            return Err(format!("setting {list}.{n}.name is there twice: {name}"));
+        }
+    }
     let classes: Vec<_> = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
     let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
     let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
@@ -181,6 +193,12 @@
 }
 
 impl Told {
+    /// Whether a file that was turned down for this may only be half written.
+    pub fn may_be_half_written(&self, why: &str) -> bool {
+        // A sidecar's files say a line each for all that is wrong, which a file's early end may be the cause of.
+        matches!(self, Told::Sidecar(_)) || why.contains(HALF)
+    }
+
     /// Reads it anew; `var` looks up the environment, which only the platform's file may be overruled by.
     pub fn read(&self, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         match self {
@@ -214,8 +232,8 @@
         let file =
             std::fs::read_to_string(path).map_err(|e| format!("LB_CONFIG: cannot read {path}: {e}"))?;
         let named = |e: String| format!("{path}: {e}");
-        let json: Value =
-            serde_json::from_str(&file).map_err(|e| named(format!("the file is no JSON: {e}")))?;
+        let json: Value = serde_json::from_str(&file)
+            .map_err(|e| named(format!("{}: {e}", if e.is_eof() { HALF } else { "the file is no JSON" })))?;
         let mut told = enforced::split(&json).map_err(named)?;
         let added = operator.map(|at| Config::operator(&told, at)).transpose()?;
         if let Some(added) = &added {
@@ -301,7 +319,13 @@
         } else {
             None
         };
+        let management = match var("LB_MANAGEMENT") {
+            Some(text) => Some(address(&text, "LB_MANAGEMENT")?),
+            None if json.get("management").is_none_or(Value::is_null) => None,
+            None => Some(address(text(json, "management")?, "management")?),
+        };
         Ok(Config {
+            management,
             listen: Listen::read(json, var("LB_LISTEN"))?,
             seed,
             sockets: whole(json, "limits", "sockets")?,
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -10,8 +10,10 @@
 use crate::control::{Kept, Order, Port};
 use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
+use crate::ledger::{End, Ledger, Now};
+use crate::management::{self, Ask, Management, MOST_CALLERS};
 use crate::peers::Peers;
-use crate::reload::{News, Reload};
+use crate::reload::Reload;
 use crate::requests::{Attempt, Place, Requests};
 use crate::room::Budget;
 use crate::routing::Routing;
@@ -28,7 +30,7 @@
 use std::time::Duration;
 use wrenfork_control::figures::{Figures, PlanUse};
 use wrenfork_decision::{
-    Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
+    Action, BackendId, Discovery, Event, Gateway, Micros, Outcome, RequestId, RosterKind,
 };
 use wrenfork_keeper::socket::{self, Socket};
 use wrenfork_wire::call::{Call, Vocabulary};
@@ -40,8 +42,11 @@
 const PEERS: Token = Token(3);
 const COUNTER: Token = Token(4);
 const CONTROL: Token = Token(5);
+const MANAGEMENT: Token = Token(6);
+/// From here on, the operators' callers.
+const CALLERS: usize = 7;
 /// From here on, even tokens are clients and odd ones backends.
-const FIRST: usize = 6;
+const FIRST: usize = CALLERS + MOST_CALLERS;
 
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
@@ -60,7 +65,8 @@
     clock: Clock,
     now: Micros,
     tick: Micros,
-    limits: Limits,
+    /// What a request may have that comes now.
+    most_attempts: usize,
     asks_discovery: bool,
     connect_timeout: Micros,
     budget: Budget,
@@ -75,7 +81,9 @@
     /// The file of the clients' socket, where it is one.
     socket: Option<Socket>,
     control: Option<Port>,
-    tally: Tally,
+    ledger: Ledger,
+    management: Option<Management>,
+    calls_more: bool,
     peers: Option<Peers>,
     counter: Option<Counter>,
     signals: Signals,
@@ -86,15 +94,6 @@
     shutdown: Shutdown,
 }
 
-/// What became of requests since the start.
-#[derive(Clone, Copy, Default)]
-struct Tally {
-    taken: u64,
-    served: u64,
-    refused: u64,
-    failed: u64,
-}
-
 fn settled(
     id: RequestId,
     attempt: u16,
@@ -117,6 +116,11 @@
     }
 }
 
+/// The names of the classes by their places.
+fn names(words: &Vocabulary) -> impl Iterator<Item = &str> {
+    words.classes.iter().map(|c| c.0.as_str())
+}
+
 /// Takes the signals that the loop heeds.
 pub fn signals() -> Result<Signals, String> {
     // A file that may not grow is an error of the write, and no end of the process.
@@ -161,7 +165,10 @@
         let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
             config.enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let budget = Budget::new(config.sockets)?;
+        let budget = Budget::new(config.sockets, config.management.is_some())?;
+        let management =
+            management::open(config.management, registry, MANAGEMENT, |key| Token(CALLERS + key))?;
+        let ledger = Ledger::new(names(&vocabulary));
         let requests = Requests::new(settings.limits.max_open as usize, config.memory / MEMORY_SHARE);
         let mut timers = Timers::default();
         timers.set(now + SWEEP, Due::Sweep);
@@ -170,7 +177,7 @@
             clock,
             now,
             tick: settings.tick,
-            limits: settings.limits.clone(),
+            most_attempts: settings.limits.max_attempts as usize,
             asks_discovery: settings.discovery == Discovery::Ask,
             connect_timeout,
             budget,
@@ -186,7 +193,9 @@
             routing: Routing::new(routes, !config.platform || control.is_some()),
             socket,
             control,
-            tally: Tally::default(),
+            ledger,
+            management,
+            calls_more: false,
             peers,
             counter: config.counter.map(|(at, wait)| Counter::new(at, wait, COUNTER)),
             signals,
@@ -240,7 +249,7 @@
     }
 
     fn timeout(&self) -> Duration {
-        if self.accept_more || self.peers_more || self.clients.has_more() {
+        if self.accept_more || self.peers_more || self.calls_more || self.clients.has_more() {
             return Duration::ZERO;
         }
         // Nothing falls due before there is a new clock.
@@ -269,6 +278,8 @@
                 LISTENER => self.accept_more = true,
                 SIGNALS => self.take_signals(),
                 PEERS => self.hear_peers(),
+                MANAGEMENT => self.calls_more = true,
+                Token(t) if (CALLERS..FIRST).contains(&t) => self.hear_caller(t - CALLERS),
                 COUNTER => {
                     if let Some(counter) = &mut self.counter {
                         counter.ready(self.now);
@@ -292,6 +303,58 @@
         self.fire();
         self.clients.flush(self.now);
         self.take_incoming();
+        // Last, so that the figures hold all that this turn brought.
+        if std::mem::take(&mut self.calls_more) {
+            self.accept_callers();
+        }
+    }
+
+    // ---- Operators ----
+
+    fn accept_callers(&mut self) {
+        let Some(management) = &mut self.management else { return };
+        self.calls_more = management.accept(self.poll.registry(), self.now);
+        self.answer_callers();
+    }
+
+    fn hear_caller(&mut self, key: usize) {
+        let Some(management) = &mut self.management else { return };
+        management.ready(key);
+        self.answer_callers();
+    }
+
+    fn answer_callers(&mut self) {
+        let asked = self.management.as_mut().map_or(Vec::new(), |m| std::mem::take(&mut m.asked));
+        for asked in asked {
+            let answer = match asked.ask {
+                Ask::Ready => match self.unready() {
+                    None => "+OK ready\r\n".into(),
+                    Some(why) => format!("-ERR {why}\r\n"),
+                },
+                Ask::Telemetry => format!("+OK\n{}.\n", self.telemetry()),
+            };
+            if let Some(management) = &mut self.management {
+                management.answer(&asked, answer);
+            }
+        }
+    }
+
+    /// Why a request that came now would not be served; none if it would.
+    fn unready(&self) -> Option<&'static str> {
+        if self.shutdown.begun() {
+            return Some("stopping");
+        }
+        (self.backends.listed() == 0).then_some("no backend is listed")
+    }
+
+    fn telemetry(&self) -> String {
+        let now = Now {
+            relayed: self.backends.relayed,
+            open: self.requests.owing_count(),
+            listed: self.backends.listed(),
+            avoided: self.backends.listed().saturating_sub(self.gateway.in_rotation()),
+        };
+        self.ledger.telemetry(&now)
     }
 
     // ---- Changes ----
@@ -317,12 +380,13 @@
         let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
             enforced;
         self.clients.ask(callers);
-        self.limits = settings.limits.clone();
+        self.most_attempts = settings.limits.max_attempts as usize;
         self.connect_timeout = connect_timeout;
         self.requests.allow(settings.limits.max_open as usize);
         self.backends.allow(connect_timeout, keepalive);
         self.shutdown.longest(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let old = std::mem::replace(&mut self.clients.words, vocabulary);
+        self.ledger.name(names(&self.clients.words));
         if self.watch.address() != discovery {
             self.watch.move_to(discovery, self.now);
         }
@@ -336,7 +400,9 @@
     }
 
     fn figures(&self) -> Figures {
-        let Tally { taken, served, refused, failed } = self.tally;
+        let ended = |end| self.ledger.all(end);
+        let (served, refused, failed) = (ended(End::Served), ended(End::Refused), ended(End::Failed));
+        let taken = self.ledger.taken;
         let names = self.clients.words.plans.iter();
         let plans = names.zip(self.gateway.in_use()).filter(|(name, u)| !name.is_empty() && u.customers > 0);
         let plans = plans
@@ -399,11 +465,11 @@
     /// Reads the configuration again and takes what it says, or tries that again later.
     fn reload(&mut self) {
         match self.reload.read(self.now) {
-            Ok(News::Discovery(at)) => self.watch.move_to(at, self.now),
-            Ok(News::Whole(enforced)) => drop(self.switch(*enforced)),
+            Ok(enforced) => drop(self.switch(*enforced)),
             Err(Some(at)) => self.timers.set(at, Due::Reload),
             Err(None) => {}
         }
+        (self.ledger.accepted, self.ledger.invalid) = self.reload.verdicts();
     }
 
     fn accept(&mut self) {
@@ -429,6 +495,7 @@
                     }
                     self.forget(id);
                 }
+                Incoming::Ended(class, end) => self.ledger.ended(class, end),
             }
             self.pump();
         }
@@ -437,9 +504,15 @@
     fn take_call(&mut self, id: RequestId, origin: Origin, call: Call) {
         let name = match self.requests.place(&call) {
             Place::Free(name) => name,
-            Place::Taken => return self.clients.reject(origin, "the id is not new"),
+            Place::Taken => {
+                self.ledger.ended(call.request.class, End::Failed);
+                return self.clients.reject(origin, "the id is not new");
+            }
             // Never let in, so trying again is harmless.
-            Place::Full => return self.clients.answer(origin, b"-BUSY\r\n"),
+            Place::Full => {
+                self.ledger.ended(call.request.class, End::Refused);
+                return self.clients.answer(origin, b"-BUSY\r\n");
+            }
         };
         // The module's deadline is a little before the client's: the last answer has a way to go.
         let wait = call.wait.min(LONGEST_WAIT);
@@ -450,8 +523,9 @@
         // One timer for all of it: nearly every request is answered long before, and each timer costs a place in the
         // heap until its time comes.
         self.timers.set(request.deadline, Due::Deadline(id));
-        self.requests.insert(id, call, name, origin, (request.deadline, request.deadline + early));
-        self.tally.taken += 1;
+        let times = (request.deadline, request.deadline + early);
+        self.requests.insert(id, call, name, origin, times, self.most_attempts);
+        self.ledger.taken += 1;
         self.events.push_back(Event::Request(request));
     }
 
@@ -477,6 +551,9 @@
                     self.backends.sweep(self.now);
                     self.clients.sweep(self.now);
                     self.requests.sweep(self.now);
+                    if let Some(management) = &mut self.management {
+                        management.sweep(self.now);
+                    }
                     if let Some(counter) = &mut self.counter {
                         counter.sweep(self.now);
                     }
@@ -581,7 +658,7 @@
         }
         if outcome == Outcome::Ok {
             // The first one is the final answer.
-            self.tally.served += u64::from(self.answer(id, &value));
+            self.answer(id, &value, End::Served);
         }
         let complete = self.requests.get(id).is_none_or(|o| o.over);
         let (metered, charged) = (None, None);
@@ -599,20 +676,18 @@
         self.forget(id);
     }
 
-    /// Gives the final answer, once; true if it was this one.
-    fn answer(&mut self, id: RequestId, text: &[u8]) -> bool {
-        let owing = self.requests.owing(id);
-        let owed = owing.is_some();
-        if let Some(open) = owing {
+    /// Gives the final answer, once: here, and nowhere else, a request that was let in ends.
+    fn answer(&mut self, id: RequestId, text: &[u8], end: End) {
+        if let Some(open) = self.requests.owing(id) {
             open.over = true;
+            self.ledger.ended(open.call.request.class, end);
             self.clients.answer(open.origin, text);
         }
         self.forget(id);
-        owed
     }
 
     fn fail(&mut self, id: RequestId) {
-        self.tally.failed += u64::from(self.answer(id, b"-ERR failed\r\n"));
+        self.answer(id, b"-ERR failed\r\n", End::Failed);
     }
 
     fn forget(&mut self, id: RequestId) {
@@ -630,7 +705,7 @@
                     _ => write!(rest, "-BUSY {}\r\n", pause.div_ceil(1000)),
                 };
                 let left = rest.len();
-                self.tally.refused += u64::from(self.answer(id, &text[..40 - left]));
+                self.answer(id, &text[..40 - left], End::Refused);
             }
             Action::Fail(id) => self.fail(id),
             Action::Cancel { id, attempt } => self.abandon(id, attempt, None, |_| Outcome::Cancelled),
@@ -661,7 +736,7 @@
         let attempt = u16::try_from(number).unwrap_or(u16::MAX);
         let until = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
         open.attempts.push(Attempt { backend, began: self.now, link: None });
-        if open.over || until <= self.now || number >= self.limits.max_attempts as usize {
+        if open.over || until <= self.now || number >= open.most {
             let event = settled(id, attempt, (backend, self.now), Outcome::Moot, open.over, self.now);
             return self.events.push_back(event);
         }
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -1,9 +1,9 @@
-//! Reading the configuration anew when told to, while serving. Of the platform's file only discovery's address is taken over;
-//! a sidecar takes all that may change, whole or not at all, through the same switch as a change that is applied.
+//! Reading the configuration anew when told to, while serving: all that may change is taken, whole or not at all, through the
+//! same switch as a change that is applied. A file has one verdict; one that ends before its time may be half written, and is
+//! looked at again.
 
 use crate::config::{compile, Config, Enforced, Listen, Told};
 use crate::status::{Outcome, Status};
-use std::net::SocketAddr;
 use wrenfork_config::enforced::{self, align, Pairs};
 use wrenfork_control::state::State;
 use wrenfork_decision::Micros;
@@ -11,14 +11,6 @@
 /// The first pause before a file that could not be read is read again, and the longest: it may be half written.
 const PAUSES: (Micros, Micros) = (50_000, 2_000_000);
 
-/// What a reading brought.
-pub enum News {
-    /// Discovery is asked at another address from now on.
-    Discovery(SocketAddr),
-    /// All of this is enforced from now on.
-    Whole(Box<Enforced>),
-}
-
 /// The file, and how reading it goes.
 pub struct Reload {
     told: Told,
@@ -32,6 +24,8 @@
     next: Micros,
     failed: bool,
     status: Status,
+    /// Files taken and turned down.
+    verdicts: (u64, u64),
 }
 
 impl Reload {
@@ -39,7 +33,7 @@
     pub fn new(told: Told, config: &Config, status: Status) -> Self {
         let (has, peers) = (config.told.clone(), config.peers.is_some());
         let place = (config.listen.clone(), config.sockets, config.memory);
-        Reload { told, has, place, peers, pause: None, next: 0, failed: false, status }
+        Reload { told, has, place, peers, pause: None, next: 0, failed: false, status, verdicts: (0, 0) }
     }
 
     /// The file is to be read, now and until that succeeds.
@@ -53,6 +47,11 @@
         self.status.say(Outcome::Refused, why);
     }
 
+    /// How many files were taken, and how many turned down, each once.
+    pub fn verdicts(&self) -> (u64, u64) {
+        self.verdicts
+    }
+
     /// The process ends.
     pub fn end(&self) {
         self.status.end();
@@ -61,56 +60,47 @@
     /// Reads the file, whose address of discovery comes before that of the environment. With an error comes the
     /// time to try again; none where nothing is due, as when a later signal's reading has succeeded meanwhile, or where
     /// another try would find the same.
-    pub fn read(&mut self, now: Micros) -> Result<News, Option<Micros>> {
+    pub fn read(&mut self, now: Micros) -> Result<Box<Enforced>, Option<Micros>> {
         let Some(pause) = self.pause.filter(|_| now >= self.next) else { return Err(None) };
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty() && name != "LB_DISCOVERY");
-        let config = match self.told.read(var) {
+        let config = match self.told.read(|_| None) {
             Ok(config) => config,
             Err(why) => {
+                let again = self.told.may_be_half_written(&why);
                 if !std::mem::replace(&mut self.failed, true) {
-                    tracing::warn!("reload: {why}; going on as before, and trying again");
-                    self.status.say(Outcome::Waiting, &why);
+                    let then =
+                        if again { "; going on as before, and trying again" } else { "; going on as before" };
+                    tracing::warn!("reload: {why}{then}");
+                    self.verdicts.1 += 1;
+                    self.status.say(if again { Outcome::Waiting } else { Outcome::Refused }, &why);
                 }
-                (self.next, self.pause) = (now + pause, Some((pause * 2).min(PAUSES.1)));
-                return Err(Some(self.next));
+                (self.next, self.pause) = (now + pause, again.then_some((pause * 2).min(PAUSES.1)));
+                return Err(again.then_some(self.next));
             }
         };
         self.pause = None;
-        if matches!(self.told, Told::Platform(_, None)) {
-            tracing::info!("reload: discovery at {}", config.enforced.discovery);
-            self.status.say(Outcome::Taken, "");
-            return Ok(News::Discovery(config.enforced.discovery));
-        }
         // It is told once the loop enforces it, which it does before it looks at anything else.
-        let whole = match &self.told {
-            // Of the platform's own file discovery's address, and all that the operator's says.
-            Told::Platform(..) => {
-                let ways = |key: &str| {
-                    ["pools.", "routes.", "identity."].iter().any(|list| key.starts_with(list))
-                        || key == "discovery"
-                };
-                let mut wanted = self.has.state.clone();
-                wanted.retain(|key, _| !ways(key));
-                wanted.extend(config.told.state.into_iter().filter(|(key, _)| ways(key)));
-                self.enforce(wanted)
-            }
-            Told::Sidecar(_) => self.unmoved(&config).and_then(|()| self.enforce(config.told.state)),
-        };
+        let whole = self.unmoved(&config).and_then(|()| self.enforce(config.told.state));
         match whole {
             Ok(enforced) => {
+                self.verdicts.0 += 1;
                 self.status.say(Outcome::Taken, "");
-                Ok(News::Whole(Box::new(enforced)))
+                Ok(Box::new(enforced))
             }
             Err(why) => {
                 tracing::warn!("reload: refused: {why}; going on as before");
+                self.verdicts.1 += 1;
                 self.status.say(Outcome::Refused, &why);
                 Err(None)
             }
         }
     }
 
-    /// Whether a sidecar's new files change nothing that is fixed from the start on.
+    /// Whether new files change nothing that is fixed from the start on. The platform's says besides how it stands at the
+    /// moment, such as the kinds of machines that there are: what is fixed is not taken from it, and no reason to refuse it.
     fn unmoved(&self, config: &Config) -> Result<(), String> {
+        if matches!(self.told, Told::Platform(..)) {
+            return Ok(());
+        }
         let (old, new) = (&self.has.fixed, &config.told.fixed);
         // The list of models follows from the pools and the nodes that are known; nothing is decided by it.
         let other = |pair: &&(String, String)| pair.0 != "skus" && old.contains(pair) != new.contains(pair);
@@ -133,14 +123,17 @@
         let told = |key: &&String| key.starts_with("contracts.") || key.starts_with("grades.");
         let moved =
             |a: &Pairs, b: &Pairs| a.iter().any(|(key, value)| told(&key) && b.get(key) != Some(value));
-        if self.peers && (moved(&state, &wanted) || moved(&wanted, &state)) {
+        // The platform tells all ingresses at once.
+        let together = matches!(self.told, Told::Platform(..));
+        if self.peers && !together && (moved(&state, &wanted) || moved(&wanted, &state)) {
             return Err(
                 "plans or classes have moved, which several ingresses must do together: wrenctl apply".into(),
             );
         }
         let state = State(state);
         let enforced = compile(&self.has.fixed, &state)?;
-        tracing::info!(digest = state.digest().short(), "reload: enforcing the new files");
+        let discovery = enforced.discovery;
+        tracing::info!(digest = state.digest().short(), %discovery, "reload: enforcing the new files");
         self.has.state = state.0;
         Ok(enforced)
     }
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -29,6 +29,8 @@
     pub deadline: Micros,
     pub overdue: Micros,
     pub attempts: Vec<Attempt>,
+    /// As many as it may have: those that were allowed when it came.
+    pub most: usize,
     /// It has its final answer, or its client has gone.
     pub over: bool,
 }
@@ -95,12 +97,20 @@
     }
 
     /// Takes a call in, at the place found for it.
-    pub fn insert(&mut self, id: RequestId, call: Call, name: u64, origin: Origin, times: (Micros, Micros)) {
+    pub fn insert(
+        &mut self,
+        id: RequestId,
+        call: Call,
+        name: u64,
+        origin: Origin,
+        times: (Micros, Micros),
+        most: usize,
+    ) {
         self.held += call.size();
         self.names.insert(name);
         let (deadline, overdue) = times;
         let (attempts, over) = (Vec::new(), false);
-        self.open.insert(id, Open { call, name, origin, deadline, overdue, attempts, over });
+        self.open.insert(id, Open { call, name, origin, deadline, overdue, attempts, most, over });
     }
 
     pub fn get(&self, id: RequestId) -> Option<&Open> {
@@ -116,6 +126,11 @@
         self.open.get_mut(&id).filter(|o| !o.over)
     }
 
+    /// How many still owe an answer.
+    pub fn owing_count(&self) -> usize {
+        self.open.values().filter(|o| !o.over).count()
+    }
+
     /// Whether any still owes an answer.
     pub fn owe(&self) -> bool {
         self.open.values().any(|o| !o.over)
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -2,11 +2,14 @@
 
 use crate::backends::Backends;
 use crate::clients::{Clients, Room};
+use crate::management::MOST_CALLERS;
 use wrenfork_decision::{BackendId, Micros};
 
 /// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
 /// peers, and some to spare for what is opened before another is closed.
 const OTHER_SOCKETS: usize = 20;
+/// The operators' listener and its callers.
+const MANAGEMENT_SOCKETS: usize = 1 + MOST_CALLERS;
 /// Clients that are taken in beyond the budget, only to be told so.
 const MOST_SURPLUS: usize = 8;
 /// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
@@ -27,8 +30,9 @@
 
 impl Budget {
     /// What is left of the process's limit for clients and backends; an error where that is next to none.
-    pub fn new(sockets: usize) -> Result<Self, String> {
-        let left = sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
+    pub fn new(sockets: usize, managed: bool) -> Result<Self, String> {
+        let other = OTHER_SOCKETS + if managed { MANAGEMENT_SOCKETS } else { 0 };
+        let left = sockets.checked_sub(other + MOST_SURPLUS).filter(|n| *n >= 8);
         let left = left.ok_or_else(|| format!("limits.sockets is too few: {sockets}"));
         left.map(|shared| Budget { shared, idle: sockets / IDLE_SHARE })
     }
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -37,6 +37,11 @@
         Shutdown { last_answer, last_at: Micros::MAX, begun: false, looked: false, closing_since: None }
     }
 
+    /// Whether it was told to stop.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
     /// A class has a deadline as long as this; what is open may still have a longer one.
     pub fn longest(&mut self, longest: Micros) {
         self.last_answer = self.last_answer.max(longest.min(LONGEST_DEADLINE) + LAST_ANSWER);
