--- a/crates/config/src/enforced.rs
+++ b/crates/config/src/enforced.rs
@@ -9,6 +9,7 @@
 use crate::model::{self, Application, Fleet, Site};
 use crate::render::{contracts, render};
 use crate::settings::Conf;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use wrenfork_routes::{Pool, PoolNo, Route, Selector, Table, Trial};
@@ -111,7 +112,7 @@
 }
 
 /// What an ingress is told, split into what is fixed and what may change.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Told {
     /// Settings that are fixed from the start on.
     pub fixed: Vec<(String, String)>,
--- a/crates/decision/src/gossip.rs
+++ b/crates/decision/src/gossip.rs
@@ -1,6 +1,7 @@
 //! The bytes of messages between gateways: packing and checked unpacking. No decision lives here.
 
 use crate::interface::CustomerId;
+use serde::{Deserialize, Serialize};
 
 const USE: u8 = 0;
 const NEWS: u8 = 1;
@@ -70,7 +71,7 @@
 }
 
 /// How one attempt went.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
     /// The backend, by its [`tag`].
     pub tag: u32,
@@ -81,7 +82,7 @@
 }
 
 /// How an attempt went.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Fared {
     /// Answered after this time.
     Answered(f64),
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -1,27 +1,29 @@
 //! The types at the border of the decision module: what a gateway is told at its start ([`Settings`]), what
 //! it then sees ([`Event`]) and what it asks its host to do ([`Action`]). No decision lives here.
 
+use serde::{Deserialize, Serialize};
+
 /// A time on the host's clock, or a span of it, in microseconds.
 pub type Micros = u64;
 
 /// A request, as named by the host. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 /// A backend; means nothing but identity.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct BackendId(pub u64);
 
 /// A customer, the holder of a plan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct CustomerId(pub u64);
 
 /// The number of a gateway among its peers, from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct GatewayNo(pub u16);
 
 /// Which backends drop repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// Any of them.
     All,
@@ -32,7 +34,7 @@
 }
 
 /// Whether a request that may have run may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Repeat {
     /// Always.
     Safe,
@@ -49,7 +51,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -68,7 +70,7 @@
 }
 
 /// A plan, and the quotas that each of its customers has over all gateways together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Plan {
     /// Units a second that fill the store; 0 for no quota on the rate.
     pub rate: f64,
@@ -91,7 +93,7 @@
 }
 
 /// What the deployment permits.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Limits {
     /// Attempts for a request.
     pub max_attempts: u32,
@@ -116,7 +118,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Rules {
     /// A final answer counts until this long past the deadline.
     pub answer_slack: Micros,
@@ -135,7 +137,7 @@
 }
 
 /// How the list of backends comes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Discovery {
     /// By itself.
     #[default]
@@ -145,7 +147,7 @@
 }
 
 /// What the `size` of a backend means.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum SizeMeaning {
     /// Nothing, it is always 1.
     #[default]
@@ -157,7 +159,7 @@
 }
 
 /// What a gateway is told at its start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Settings {
     /// How many gateways there are.
     pub gateways: u16,
@@ -188,7 +190,7 @@
 }
 
 /// The state of a backend as listed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Availability {
     /// Takes work.
     #[default]
@@ -200,7 +202,7 @@
 }
 
 /// A line of the list of backends.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Listed {
     /// The backend.
     pub backend: BackendId,
@@ -234,7 +236,7 @@
 }
 
 /// The load that a backend reported, as far as it reports it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Requests in work.
     pub in_flight: Option<f64>,
@@ -251,7 +253,7 @@
 }
 
 /// How an attempt, a probe or a counter call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Ok,
@@ -279,7 +281,7 @@
 }
 
 /// A client's request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Request {
     /// Its name.
     pub id: RequestId,
--- a/crates/decision/src/pools.rs
+++ b/crates/decision/src/pools.rs
@@ -14,6 +14,7 @@
 use crate::control::{ALERT_OFF, ALERT_ON, PRESSURE_TAU, SPILL};
 use crate::interface::*;
 use crate::state::{decay, mix, Gateway, Open};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// How long a pool that is back takes to have all of its customers again: longer than it takes to see that it is gone.
@@ -34,7 +35,7 @@
 pub type Through = (usize, bool);
 
 /// A pool, as this gateway knows it.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Pool {
     /// The places of its ready backends, in an order of this gateway's own.
     pub order: Vec<usize>,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -4,12 +4,14 @@
 use crate::gossip::{incarnation, Body, Message, Sample};
 use crate::interface::*;
 use crate::pools::Pool;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 /// A second in the host's unit.
 pub const SECOND: f64 = 1e6;
 
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     pub to: Listed,
     pub sent: Micros,
@@ -25,7 +27,7 @@
     pub void: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Open {
     pub req: Request,
     /// Its class as it was when the request came: it ends under that, whatever changes meanwhile.
@@ -67,7 +69,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Heard {
     pub total: u16,
     /// Units let through in its name before it told that it took them.
@@ -77,7 +79,7 @@
     pub open: u8,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Customer {
     pub plan: usize,
     /// The quota's store, as far as known here, and when it was last filled.
@@ -117,7 +119,7 @@
     pub held: Vec<RequestId>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Peer {
     pub born: u32,
     pub seq: u16,
@@ -133,7 +135,7 @@
 }
 
 /// A backend's record with one class: it may be sick for that one alone.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Health {
     pub errors: f64,
     pub at: Micros,
@@ -144,7 +146,7 @@
     pub by: Option<BackendId>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Backend {
     pub listed: Listed,
     pub size: f64,
@@ -164,7 +166,7 @@
 
 /// The backends: found by their identity, or by a place that stays theirs for as long as they are kept. A choice
 /// looks at many of them, and a place costs it no search.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Backends {
     places: BTreeMap<BackendId, usize>,
     records: Vec<Backend>,
@@ -221,7 +223,7 @@
 }
 
 /// How long answers of a class take: lately, and on calm servers.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Usual {
     pub recent: f64,
     pub calm: f64,
@@ -232,7 +234,7 @@
 }
 
 /// One gateway's decisions. Feed it events, do what it asks.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Gateway {
     pub(crate) s: Settings,
     pub(crate) rng: u64,
--- a/crates/dial/src/lib.rs
+++ b/crates/dial/src/lib.rs
@@ -4,6 +4,7 @@
 //! Connects race, requests never do: a request is written once, to the connection that came up first. Whether what may have
 //! run is sent again, over whatever address, is the decision module's alone.
 
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,7 +23,7 @@
 const MOST_PATH: usize = 100;
 
 /// Where a node can be reached.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Address {
     /// An address and port.
     Tcp(SocketAddr),
@@ -86,7 +87,7 @@
     Silent,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Line {
     place: Address,
     strikes: u32,
@@ -94,7 +95,7 @@
 }
 
 /// The addresses of a node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Book(Vec<Line>);
 
 impl Book {
--- /dev/null
+++ b/crates/handover/tests/channel.rs
@@ -0,0 +1,130 @@
+//! Both ends of the channel against each other, and against ends that fail.
+
+use std::io::{Read, Write};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+use wrenfork_handover::channel::{Ancestor, Heir};
+
+struct Place {
+    _folder: tempfile::TempDir,
+    path: PathBuf,
+    listener: UnixListener,
+}
+
+fn place() -> Place {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("next");
+    let listener = UnixListener::bind(&path).unwrap();
+    Place { _folder: folder, path, listener }
+}
+
+const MOST: usize = 1 << 20;
+
+#[test]
+fn state_and_descriptors_come_whole_and_in_their_order() {
+    let place = place();
+    let state: Vec<u8> = (0..300_000u32).map(|n| n as u8).collect();
+    let want = state.clone();
+    let old = thread::spawn(move || {
+        let mut heir = Heir::hear(place.listener.accept().unwrap().0, 7).unwrap();
+        heir.give(&state).unwrap();
+        // Far more than go in a message; each holds its number.
+        let pairs: Vec<(UnixStream, UnixStream)> = (0..150).map(|_| UnixStream::pair().unwrap()).collect();
+        let (here, there): (Vec<_>, Vec<_>) = pairs.into_iter().unzip();
+        heir.pass(there.into_iter().map(OwnedFd::from).collect()).unwrap();
+        here.into_iter().zip(0u8..).for_each(|(mut s, n)| s.write_all(&[n]).unwrap());
+    });
+    let (mut ancestor, had) = Ancestor::ask(&place.path, 7, MOST).unwrap().unwrap();
+    assert_eq!(had, want);
+    ancestor.take().unwrap();
+    let all = ancestor.receive(150);
+    assert_eq!(all.len(), 150);
+    for (fd, n) in all.into_iter().zip(0u8..) {
+        let mut byte = [0];
+        UnixStream::from(fd).read_exact(&mut byte).unwrap();
+        assert_eq!(byte[0], n);
+    }
+    old.join().unwrap();
+}
+
+#[test]
+fn where_nobody_is_there_is_no_error() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("next");
+    assert!(Ancestor::ask(&path, 1, MOST).unwrap().is_none());
+    drop(UnixListener::bind(&path).unwrap()); // a stale file
+    assert!(Ancestor::ask(&path, 1, MOST).unwrap().is_none());
+}
+
+/// Guards against a state of another form that is read as if it were this one's, and a wait without end for it.
+#[test]
+fn another_layout_version_or_size_is_told_to_both() {
+    for (layout, most, why) in [(8, MOST, "layout"), (7, 10, "at most")] {
+        let place = place();
+        let old = thread::spawn(move || {
+            Heir::hear(place.listener.accept().unwrap().0, 7).and_then(|mut heir| heir.give(&[1; 100]))
+        });
+        assert!(Ancestor::ask(&place.path, layout, most).unwrap_err().contains(why));
+        assert!(old.join().unwrap().is_err());
+    }
+    let (one, mut other) = UnixStream::pair().unwrap();
+    other.write_all(b"wrenhnd0\0\0\0\x07").unwrap();
+    assert!(Heir::hear(one, 7).unwrap_err().contains("another version"));
+}
+
+/// Guards against a state that was spoilt or cut on its way.
+#[test]
+fn a_spoilt_or_cut_state_is_not_taken() {
+    for cut in [false, true] {
+        let place = place();
+        let old = thread::spawn(move || {
+            let (mut stream, _) = place.listener.accept().unwrap();
+            stream.read_exact(&mut [0; 12]).unwrap();
+            let mut said = vec![b'S'];
+            said.extend_from_slice(&4u64.to_be_bytes());
+            said.extend_from_slice(&[0; 32]); // no digest of anything
+            said.extend_from_slice(if cut { b"ab" } else { b"abcd" });
+            stream.write_all(&said).unwrap();
+        });
+        assert!(Ancestor::ask(&place.path, 7, MOST).unwrap_err().contains("not whole"));
+        old.join().unwrap();
+    }
+}
+
+/// Guards against two processes that both decide, or none: whoever is late, one has it and knows.
+#[test]
+fn whoever_is_late_the_state_is_one_sides() {
+    // The new one says nothing: it stays the old one's, and soon.
+    let (one, mut other) = UnixStream::pair().unwrap();
+    other.write_all(b"wrenhnd1\0\0\0\x07").unwrap();
+    let start = Instant::now();
+    assert!(Heir::hear(one, 7).unwrap().give(b"state").unwrap_err().contains("no word in time"));
+    assert!(start.elapsed() < Duration::from_secs(10));
+    // The old one says nothing behind the state: it is not the new one's, and can't become so.
+    let place = place();
+    let old = thread::spawn(move || {
+        let (mut stream, _) = place.listener.accept().unwrap();
+        stream.read_exact(&mut [0; 12]).unwrap();
+        let mut said = vec![b'S'];
+        said.extend_from_slice(&0u64.to_be_bytes());
+        // The digest of nothing.
+        let empty = [
+            0xe3, 0xb0, 0xc4, 0x42, 0x98, 0xfc, 0x1c, 0x14, 0x9a, 0xfb, 0xf4, 0xc8, 0x99, 0x6f, 0xb9, 0x24,
+            0x27, 0xae, 0x41, 0xe4, 0x64, 0x9b, 0x93, 0x4c, 0xa4, 0x95, 0x99, 0x1b, 0x78, 0x52, 0xb8, 0x55,
+        ];
+        said.extend_from_slice(&empty);
+        stream.write_all(&said).unwrap();
+        let mut word = [0];
+        stream.read_exact(&mut word).unwrap();
+        assert_eq!(word[0], b'R');
+        stream
+    });
+    let (mut ancestor, state) = Ancestor::ask(&place.path, 7, MOST).unwrap().unwrap();
+    assert!(state.is_empty());
+    assert!(ancestor.take().unwrap_err().contains("no word in time"));
+    let mut late = old.join().unwrap();
+    assert!(late.write_all(b"Y").is_err(), "said too late, it must not seem said");
+}
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -4,9 +4,11 @@
 use crate::discovery::Roster;
 use crate::stream::Stream;
 use mio::{Interest, Registry, Token};
+use serde::{Deserialize, Serialize};
 use slab::Slab;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
+use std::os::fd::OwnedFd;
 use wrenfork_config::settings::note_field;
 use wrenfork_decision::{Availability, BackendId, Micros, Outcome, Report, RequestId};
 use wrenfork_dial::{Address, Book, Fared, Next, Race};
@@ -40,7 +42,7 @@
 
 /// How connections fare that are used again, by how long they were idle: on some networks one that is idle for a
 /// fraction of a second is dead, and says so only under the next request, which may have run then.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Staleness {
     /// Uses, and how many were reset at once; the place is the logarithm of the idle milliseconds.
     uses: [(f64, f64); 16],
@@ -67,7 +69,7 @@
 /// What a backend sends that nobody asked for. A rest shows what comes right behind an answer; what comes later would
 /// pass for the answer to the next request, and nothing in it tells whose it is. So a backend that does this often
 /// gets a new connection for each request, for as long as it does.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Surplus {
     answers: f64,
     seen: f64,
@@ -84,7 +86,7 @@
 }
 
 /// What a connection is busy with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Work {
     Attempt(RequestId, u16),
     Probe,
@@ -93,7 +95,7 @@
 }
 
 /// A connection, for as long as it lives: places in the slab are used again, serial numbers are not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Link {
     key: usize,
     serial: u64,
@@ -110,13 +112,17 @@
     pub value: Vec<u8>,
 }
 
-struct Conn {
-    stream: Stream,
+/// A connection; without its stream while it passes from one process to the next.
+#[derive(Serialize, Deserialize)]
+pub struct Conn<S = Stream> {
+    #[serde(skip)]
+    stream: S,
     serial: u64,
     backend: BackendId,
     place: Address,
     connected: bool,
-    /// Where the backend has several addresses, until one of them is up.
+    /// Where the backend has several addresses, until one of them is up. The next process has the first one alone.
+    #[serde(skip)]
     race: Option<Box<Racing>>,
     work: Option<Work>,
     /// When its work began, or when it fell idle.
@@ -139,7 +145,35 @@
     failed: bool,
 }
 
-impl Conn {
+/// What of the connections passes to the next process, with the connections' own records.
+#[derive(Serialize, Deserialize)]
+pub struct Saved<C> {
+    conns: Vec<(usize, C)>,
+    pools: Pools,
+    serial: u64,
+    staleness: Staleness,
+}
+
+/// Pools by backend, in an order of no meaning.
+type Pools = Vec<(BackendId, Pool)>;
+
+impl<C> Saved<C> {
+    /// How many connections there are.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+impl Conn<()> {
+    /// With its stream again.
+    fn with(self, stream: Stream) -> Conn {
+        let Conn { stream: (), serial, backend, place, connected, race, work, since, idled, .. } = self;
+        let Conn { heard, out, written, buf, .. } = self;
+        Conn { stream, serial, backend, place, connected, race, work, since, idled, heard, out, written, buf }
+    }
+}
+
+impl<S> Conn<S> {
     /// Whether the backend may have begun: the command's last byte is written.
     fn sent(&self) -> bool {
         self.written == self.out.len()
@@ -155,7 +189,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Pool {
     book: Book,
     /// The connections with no work, the newest last.
@@ -248,6 +282,55 @@
         (self.connect_within, self.idle_for) = (connect_within, idle_for(keepalive));
     }
 
+    /// What passes to the next process, as it stands.
+    pub fn save(&self) -> Saved<&Conn> {
+        Saved {
+            conns: self.conns.iter().collect(),
+            pools: self.pools.iter().map(|(id, pool)| (*id, pool.clone())).collect(),
+            serial: self.serial,
+            staleness: self.staleness.clone(),
+        }
+    }
+
+    /// The sockets of all connections in the order in which they were saved; none is left here.
+    pub fn take_descriptors(&mut self) -> Vec<OwnedFd> {
+        self.conns.drain().map(|c| c.stream.into_descriptor()).collect()
+    }
+
+    /// Goes on with another process's connections. The work on one whose socket did not come has ended as if it had broken.
+    pub fn resume(
+        &mut self,
+        saved: Saved<Conn<()>>,
+        sockets: &mut impl Iterator<Item = OwnedFd>,
+        registry: &Registry,
+    ) {
+        (self.serial, self.staleness) = (saved.serial, saved.staleness);
+        self.pools = saved.pools.into_iter().collect();
+        let mut conns = Vec::with_capacity(saved.conns.len());
+        for (key, conn) in saved.conns {
+            let stream = sockets.next().map(|s| Stream::passed_to(&conn.place, s)).and_then(|mut stream| {
+                let interests = Interest::READABLE | Interest::WRITABLE;
+                registry.register(&mut stream, (self.tokens)(key), interests).ok().map(|()| stream)
+            });
+            match (stream, conn.work) {
+                // Those that come up beside another are that one's, which goes on alone.
+                (Some(stream), work) if !matches!(work, Some(Work::Race(_))) => {
+                    conns.push((key, conn.with(stream)));
+                }
+                (_, work) => {
+                    if let Some(work) = work.filter(|w| !matches!(w, Work::Race(_))) {
+                        let outcome = if conn.sent() { Outcome::Reset } else { Outcome::ConnectFailed };
+                        let (backend, began, report, value) = (conn.backend, conn.since, None, Vec::new());
+                        self.done.push(Done { work, backend, outcome, began, report, value });
+                    }
+                }
+            }
+        }
+        self.conns = conns.into_iter().collect();
+        let conns = &self.conns;
+        self.pools.values_mut().for_each(|p| p.idle.retain(|key| conns.contains(*key)));
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -5,11 +5,13 @@
 use crate::ledger::End;
 use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
+use serde::{Deserialize, Serialize};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 use std::ops::Range;
+use std::os::fd::OwnedFd;
 use wrenfork_decision::{Micros, RequestId};
 use wrenfork_wire::call::{Call, Vocabulary};
 use wrenfork_wire::resp;
@@ -40,7 +42,7 @@
 const LONGEST_LINGER: Micros = 5_000_000;
 
 /// Where an answer belongs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Origin {
     key: usize,
     serial: u64,
@@ -58,13 +60,17 @@
 }
 
 /// An answer, or the place for one that is still to come.
+#[derive(Serialize, Deserialize)]
 enum Slot {
     Waiting(RequestId),
     Ready(Vec<u8>),
 }
 
-struct Client {
-    stream: Stream,
+/// A connection; without its stream while it passes from one process to the next.
+#[derive(Serialize, Deserialize)]
+pub struct Client<S = Stream> {
+    #[serde(skip)]
+    stream: S,
     serial: u64,
     buf: Vec<u8>,
     /// Answers in the order of the requests, and the number of the first of them.
@@ -79,7 +85,8 @@
     since: Micros,
     /// When what `buf` holds of a command began to come; with none, when it was accepted.
     begun: Micros,
-    /// What it has proved of who it is.
+    /// What it has proved of who it is; where callers are asked, no connection passes to another process.
+    #[serde(skip)]
     proof: Option<Proof>,
     /// Bad commands since the last good one.
     errors: u32,
@@ -97,6 +104,59 @@
     listed: bool,
 }
 
+/// What of the connections passes to the next process, with the connections' own records.
+#[derive(Serialize, Deserialize)]
+pub struct Saved<C> {
+    conns: Vec<(usize, C)>,
+    serial: u64,
+    next_id: u64,
+    dirty: Vec<usize>,
+    again: Vec<usize>,
+    lingering: usize,
+    surplus: usize,
+    accepted_at: Micros,
+    held: usize,
+}
+
+impl<C> Saved<C> {
+    /// How many connections there are.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+impl Client<()> {
+    /// With its stream again.
+    fn with(self, stream: Stream) -> Client {
+        let Client { stream: (), serial, buf, slots, first, ready, out, written, counted, since, .. } = self;
+        let Client {
+            begun, proof, errors, closing, linger_until, surplus, shut, stalled, dirty, listed, ..
+        } = self;
+        Client {
+            stream,
+            serial,
+            buf,
+            slots,
+            first,
+            ready,
+            out,
+            written,
+            counted,
+            since,
+            begun,
+            proof,
+            errors,
+            closing,
+            linger_until,
+            surplus,
+            shut,
+            stalled,
+            dirty,
+            listed,
+        }
+    }
+}
+
 impl Client {
     /// Between two requests, with nothing under way in either direction.
     fn idle(&self) -> bool {
@@ -215,6 +275,57 @@
         }
     }
 
+    /// What passes to the next process, as it stands.
+    pub fn save(&self) -> Saved<&Client> {
+        Saved {
+            conns: self.conns.iter().collect(),
+            serial: self.serial,
+            next_id: self.next_id,
+            dirty: self.dirty.clone(),
+            again: self.again.clone(),
+            lingering: self.lingering,
+            surplus: self.surplus,
+            accepted_at: self.accepted_at,
+            held: self.held,
+        }
+    }
+
+    /// The sockets of all connections in the order in which they were saved; none is left here.
+    pub fn take_descriptors(&mut self) -> Vec<OwnedFd> {
+        self.conns.drain().map(|c| c.stream.into_descriptor()).collect()
+    }
+
+    /// Goes on with another process's connections. Of one whose socket did not come the requests have lost their client.
+    pub fn resume(
+        &mut self,
+        saved: Saved<Client<()>>,
+        sockets: &mut impl Iterator<Item = OwnedFd>,
+        registry: &Registry,
+    ) {
+        let mut lost = Vec::new();
+        let conns = saved.conns.into_iter().filter_map(|(key, c)| {
+            let stream = sockets.next().map(Stream::passed).and_then(|mut stream| {
+                let interests = Interest::READABLE | Interest::WRITABLE;
+                registry.register(&mut stream, (self.tokens)(key), interests).ok().map(|()| stream)
+            });
+            match stream {
+                Some(stream) => Some((key, c.with(stream))),
+                None => {
+                    lost.push(c);
+                    None
+                }
+            }
+        });
+        self.conns = conns.collect();
+        (self.serial, self.next_id, self.accepted_at) = (saved.serial, saved.next_id, saved.accepted_at);
+        (self.dirty, self.again) = (saved.dirty, saved.again);
+        (self.lingering, self.surplus, self.held) = (saved.lingering, saved.surplus, saved.held);
+        lost.into_iter().for_each(|c| self.gone(&c));
+        let conns = &self.conns;
+        self.dirty.retain(|key| conns.contains(*key));
+        self.again.retain(|key| conns.contains(*key));
+    }
+
     /// Asks callers who they are from now on, or nobody.
     pub fn ask(&mut self, callers: Option<Callers>) {
         match (&mut self.door, callers) {
@@ -633,6 +744,11 @@
     /// Forgets a connection; requests that it still waits for have lost their client.
     fn remove(&mut self, key: usize) {
         let c = self.conns.remove(key); // dropped, it is closed, and so out of the poll
+        self.gone(&c);
+    }
+
+    /// Counts a connection no longer.
+    fn gone<S>(&mut self, c: &Client<S>) {
         self.lingering -= usize::from(c.linger_until.is_some());
         self.surplus -= usize::from(c.surplus);
         self.held -= c.counted;
--- a/crates/ingress/src/clock.rs
+++ b/crates/ingress/src/clock.rs
@@ -17,6 +17,19 @@
         Clock { start: Instant::now(), offset: unix.as_micros() as Micros }
     }
 
+    /// Goes on from another process's: what that and the system's clock said at one moment. Never back, and by no more than
+    /// a second: the system's clock may have been set meanwhile.
+    pub fn resume((clock, unix): (Micros, Micros)) -> Self {
+        let own = Clock::new();
+        let passed = own.offset.saturating_sub(unix).min(1_000_000);
+        Clock { offset: clock + passed, ..own }
+    }
+
+    /// What it says and what the system's says.
+    pub fn both(&self) -> (Micros, Micros) {
+        (self.now(), Clock::new().offset)
+    }
+
     /// Microseconds of Unix time.
     pub fn now(&self) -> Micros {
         self.offset + self.start.elapsed().as_micros() as Micros
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -23,6 +23,8 @@
     pub listen: Listen,
     /// Where operators call; nowhere if none is told.
     pub management: Option<SocketAddr>,
+    /// The descriptor of the listening socket that the platform holds; none where the ingress binds its own.
+    pub passed: Option<String>,
     pub seed: u64,
     /// The most file descriptors.
     pub sockets: usize,
@@ -326,6 +328,7 @@
         };
         Ok(Config {
             management,
+            passed: None,
             listen: Listen::read(json, var("LB_LISTEN"))?,
             seed,
             sockets: whole(json, "limits", "sockets")?,
--- a/crates/ingress/src/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// The version of the list that is held; none where the whole list is to come.
+    pub fn index(&self) -> Option<u64> {
+        self.index
+    }
+
     /// Where it asks.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -165,6 +170,11 @@
         self.backoff.reset();
     }
 
+    /// Goes on from another process's list, where that one asked.
+    pub fn resume(&mut self, (address, index): (SocketAddr, Option<u64>)) {
+        (self.address, self.index) = (address, index);
+    }
+
     /// Asks for the whole list with the next call.
     pub fn fetch_whole(&mut self) {
         self.index = None;
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -19,6 +19,7 @@
 use crate::routing::Routing;
 use crate::shutdown::Shutdown;
 use crate::stream::Listener;
+use crate::takeover::{self, Given, Inherited, Offer, Taken};
 use crate::timers::{Due, Timers};
 use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Interest, Poll, Token};
@@ -27,11 +28,14 @@
 use std::collections::VecDeque;
 use std::io;
 use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
 use std::time::Duration;
 use wrenfork_control::figures::{Figures, PlanUse};
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Micros, Outcome, RequestId, RosterKind,
 };
+use wrenfork_handover::inherit;
 use wrenfork_keeper::socket::{self, Socket};
 use wrenfork_wire::call::{Call, Vocabulary};
 use wrenfork_wire::resp;
@@ -43,8 +47,9 @@
 const COUNTER: Token = Token(4);
 const CONTROL: Token = Token(5);
 const MANAGEMENT: Token = Token(6);
+const HANDOVER: Token = Token(7);
 /// From here on, the operators' callers.
-const CALLERS: usize = 7;
+const CALLERS: usize = 8;
 /// From here on, even tokens are clients and odd ones backends.
 const FIRST: usize = CALLERS + MOST_CALLERS;
 
@@ -70,6 +75,8 @@
     asks_discovery: bool,
     connect_timeout: Micros,
     budget: Budget,
+    /// The most bytes of memory.
+    memory: usize,
     gateway: Gateway,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -92,6 +99,10 @@
     accept_more: bool,
     peers_more: bool,
     shutdown: Shutdown,
+    /// Where the next process finds this one, if it may come while this one serves.
+    next: Option<PathBuf>,
+    offer: Option<Offer>,
+    asked_to_hand_over: bool,
 }
 
 fn settled(
@@ -140,7 +151,15 @@
         let registry = poll.registry();
         let (mut listener, socket) = match &config.listen {
             Listen::Tcp(at) => {
-                let bound = TcpListener::bind(*at);
+                let passed = config.passed.as_ref().map(|number| inherit::listener(number, *at));
+                let bound = match passed {
+                    Some(Ok(passed)) => Ok(TcpListener::from_std(passed)),
+                    Some(Err(why)) => {
+                        tracing::warn!("{why}; binding an own one");
+                        TcpListener::bind(*at)
+                    }
+                    None => TcpListener::bind(*at),
+                };
                 let bound = bound.map_err(|e| failed(&format!("listen: cannot listen at {at}"), e))?;
                 (Listener::Tcp(bound), None)
             }
@@ -154,16 +173,34 @@
             .register(&mut listener, LISTENER, Interest::READABLE)
             .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
         registered.map_err(|e| failed("cannot poll", e))?;
+        // Where the platform holds the listener, another process of this ingress may be serving at this moment. What callers
+        // have proved does not pass to another process, nor what is planned and applied.
+        let passed = config.passed.is_some() && config.enforced.callers.is_none() && kept.is_none();
+        let next = match &config.listen {
+            Listen::Tcp(at) => passed.then(|| takeover::path(*at)),
+            Listen::Unix(..) => None,
+        };
+        let taken = next.as_deref().and_then(|path| takeover::ask(path, config.memory));
+        let (inherited, enforced, descriptors) = match taken {
+            Some(Taken { state, enforced, descriptors }) => (Some(state), enforced, descriptors),
+            None => (None, config.enforced, Vec::new()),
+        };
+        let mut descriptors = descriptors.into_iter();
+        let socket_of_peers = inherited.as_ref().filter(|i| i.peers).and_then(|_| descriptors.next());
         let peers = config.peers.map(|p| {
             let at = p.listen;
-            Peers::bind(p, registry, PEERS).map_err(|e| failed(&format!("peer_listen: cannot bind {at}"), e))
+            let bound = match socket_of_peers {
+                Some(descriptor) => Peers::passed(p, descriptor, registry, PEERS),
+                None => Peers::bind(p, registry, PEERS, next.is_some()),
+            };
+            bound.map_err(|e| failed(&format!("peer_listen: cannot bind {at}"), e))
         });
         let peers = peers.transpose()?;
-        let clock = Clock::new();
+        let clock = inherited.as_ref().map_or_else(Clock::new, |i| Clock::resume(i.clocks));
         let now = clock.now();
         let control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
         let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
-            config.enforced;
+            enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let budget = Budget::new(config.sockets, config.management.is_some())?;
         let management =
@@ -181,6 +218,7 @@
             asks_discovery: settings.discovery == Discovery::Ask,
             connect_timeout,
             budget,
+            memory: config.memory,
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -204,10 +242,17 @@
             accept_more: false,
             peers_more: false,
             shutdown: Shutdown::new(longest),
+            next,
+            offer: None,
+            asked_to_hand_over: false,
         };
         ingress.clients.ask(callers);
-        ingress.take_roster(config.known, RosterKind::Cached);
+        match inherited {
+            Some(inherited) => ingress.resume(inherited, descriptors),
+            None => ingress.take_roster(config.known, RosterKind::Cached),
+        }
         ingress.pump();
+        ingress.settle();
         tracing::info!("listening at {}", config.listen);
         Ok(ingress)
     }
@@ -234,7 +279,13 @@
             );
             self.turn(&mut ready);
             self.take_orders();
+            if self.hand_over() {
+                return Ok(());
+            }
             if self.may_exit() {
+                if let Some(offer) = &self.offer {
+                    offer.close();
+                }
                 if let Some(control) = self.control.take() {
                     control.close();
                 }
@@ -262,7 +313,7 @@
     fn turn(&mut self, ready: &mut [(Token, bool, bool)]) {
         ready.sort_unstable_by_key(|r| match r.0 {
             DISCOVERY => 0,
-            Token(t) if t >= FIRST && t % 2 == 1 => 1,
+            Token(t) if t >= FIRST && (t - FIRST) % 2 == 1 => 1,
             PEERS => 2,
             _ => 3,
         });
@@ -275,6 +326,7 @@
         for &(token, writable, closed) in ready.iter() {
             match token {
                 DISCOVERY | CONTROL => {}
+                HANDOVER => self.asked_to_hand_over = true,
                 LISTENER => self.accept_more = true,
                 SIGNALS => self.take_signals(),
                 PEERS => self.hear_peers(),
@@ -357,6 +409,94 @@
         self.ledger.telemetry(&now)
     }
 
+    // ---- From one process to the next ----
+
+    /// Takes what a process that ends, or ended, leaves free: the offer's place and the peers' address.
+    fn settle(&mut self) {
+        let registry = self.poll.registry();
+        let Some(path) = self.next.as_deref().filter(|_| !self.shutdown.begun()) else { return };
+        if self.offer.is_none() {
+            self.offer = Offer::open(path, registry, HANDOVER).ok();
+        }
+        if let Some(peers) = self.peers.as_mut().filter(|p| !p.bound()) {
+            if peers.bind_again(registry, PEERS).is_ok() {
+                tracing::info!("peer_listen: bound");
+            }
+        }
+    }
+
+    /// Hands all over to a process that asks for it; true if it is that one's. Between two turns nothing is half done.
+    fn hand_over(&mut self) -> bool {
+        if !std::mem::take(&mut self.asked_to_hand_over) {
+            return false;
+        }
+        while let Some(heir) = self.offer.as_ref().and_then(Offer::next) {
+            let began = self.clock.now();
+            // One that was told to stop ends by itself, and the next one begins anew.
+            let stopping = self.shutdown.begun();
+            let given = heir.and_then(|mut heir| {
+                self.take_incoming();
+                let given =
+                    if stopping { Err("told to stop".into()) } else { takeover::bytes(&self.given()) };
+                given.and_then(|bytes| heir.give(&bytes)).map(|()| heir)
+            });
+            let mut heir = match given {
+                Ok(heir) => heir,
+                Err(why) => {
+                    tracing::warn!("handover: {why}; going on as before");
+                    continue;
+                }
+            };
+            let mut descriptors: Vec<OwnedFd> =
+                self.peers.take().and_then(Peers::into_descriptor).into_iter().collect();
+            descriptors.extend(self.clients.take_descriptors());
+            descriptors.extend(self.backends.take_descriptors());
+            let count = descriptors.len();
+            if let Err(why) = heir.pass(descriptors) {
+                tracing::error!("handover: {why}: what had not passed is lost");
+            }
+            let took = self.clock.now().saturating_sub(began);
+            tracing::info!(connections = count, took_us = took, "handed over to the next process");
+            return true;
+        }
+        false
+    }
+
+    fn given(&self) -> Given<'_> {
+        Given {
+            told: self.reload.told(),
+            clocks: self.clock.both(),
+            now: self.now,
+            gateway: &self.gateway,
+            requests: &self.requests,
+            timers: &self.timers,
+            watch: (self.watch.address(), self.watch.index()),
+            peers: self.peers.as_ref().is_some_and(Peers::bound),
+            clients: self.clients.save(),
+            backends: self.backends.save(),
+        }
+    }
+
+    /// Goes on where another process stopped.
+    fn resume(&mut self, inherited: Inherited, mut descriptors: impl Iterator<Item = OwnedFd>) {
+        let Inherited { told, now, gateway, requests, timers, watch, clients, backends, .. } = inherited;
+        let registry = self.poll.registry();
+        let connections = clients.len() + backends.len();
+        self.now = now;
+        self.gateway = gateway;
+        (self.requests, self.timers) = (requests, timers);
+        self.requests.within(self.memory / MEMORY_SHARE);
+        self.clients.resume(clients, &mut descriptors, registry);
+        self.backends.resume(backends, &mut descriptors, registry);
+        self.watch.resume(watch);
+        (self.accept_more, self.peers_more) = (true, true);
+        self.take_incoming();
+        if let Some(enforced) = self.reload.resume(told) {
+            drop(self.switch(*enforced));
+        }
+        tracing::info!(connections, "taken over from the process before");
+    }
+
     // ---- Changes ----
 
     /// Takes what the control side asks for, between two turns.
@@ -551,6 +691,7 @@
                     self.backends.sweep(self.now);
                     self.clients.sweep(self.now);
                     self.requests.sweep(self.now);
+                    self.settle();
                     if let Some(management) = &mut self.management {
                         management.sweep(self.now);
                     }
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -21,6 +21,7 @@
 mod shutdown;
 mod status;
 mod stream;
+mod takeover;
 mod timers;
 
 use clap::Parser;
@@ -78,6 +79,7 @@
     config.control.state = state.or(config.control.state);
     let kept = control::open(&mut config)?;
     let status = status::Status::begin(status.or(config.status.take()))?;
+    config.passed = var("LB_PASSED_SOCKET");
     let reload = reload::Reload::new(told, &config, status);
     ingress::Ingress::start(config, kept, reload, signals)?.run()
 }
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -36,6 +36,32 @@
         Reload { told, has, place, peers, pause: None, next: 0, failed: false, status, verdicts: (0, 0) }
     }
 
+    /// What is enforced and passes to the next process.
+    pub fn told(&self) -> &enforced::Told {
+        &self.has
+    }
+
+    /// Goes on with what another process enforced; what the files say by now, if that is something else.
+    pub fn resume(&mut self, has: enforced::Told) -> Option<Box<Enforced>> {
+        self.has = has;
+        let read = self.told.read(|_| None).and_then(|config| {
+            let wanted = config.told.state;
+            let same = align(&[&self.has.state], &wanted)? == self.has.state;
+            if same {
+                Ok(None)
+            } else {
+                self.enforce(wanted).map(Some)
+            }
+        });
+        match read {
+            Ok(enforced) => enforced.map(Box::new),
+            Err(why) => {
+                tracing::warn!("handover: {why}; enforcing what the other process did");
+                None
+            }
+        }
+    }
+
     /// The file is to be read, now and until that succeeds.
     pub fn asked(&mut self) {
         (self.pause, self.next, self.failed) = (Some(PAUSES.0), 0, false);
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -2,9 +2,10 @@
 
 use crate::backends::Link;
 use crate::clients::Origin;
-use std::collections::hash_map::RandomState;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::BuildHasher;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use wrenfork_decision::{BackendId, Micros, RequestId};
 use wrenfork_wire::call::Call;
 
@@ -12,6 +13,7 @@
 const ID_KNOWN: Micros = 1_000_000;
 
 /// An attempt at a request.
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     pub backend: BackendId,
     pub began: Micros,
@@ -20,6 +22,7 @@
 }
 
 /// A request that is not forgotten yet.
+#[derive(Serialize, Deserialize)]
 pub struct Open {
     pub call: Call,
     /// A hash of its id.
@@ -51,19 +54,25 @@
 }
 
 /// The open requests.
+#[derive(Serialize, Deserialize)]
 pub struct Requests {
     open: HashMap<RequestId, Open>,
     /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
     /// anew at each start.
     names: HashSet<u64>,
     ended: VecDeque<(Micros, u64)>,
-    hasher: RandomState,
+    hasher: SipHasher13,
     /// The memory of the open requests, and the most of it and of them.
     held: usize,
     memory: usize,
     most: usize,
 }
 
+/// A key that nobody can guess; with the open requests it passes to the next process.
+fn key() -> u64 {
+    RandomState::new().hash_one(0)
+}
+
 impl Requests {
     /// None yet; at most so many, and so many bytes.
     pub fn new(most: usize, memory: usize) -> Self {
@@ -71,13 +80,18 @@
             open: HashMap::new(),
             names: HashSet::new(),
             ended: VecDeque::new(),
-            hasher: RandomState::new(),
+            hasher: SipHasher13::new_with_keys(key(), key()),
             held: 0,
             memory,
             most,
         }
     }
 
+    /// The memory that they may hold from now on.
+    pub fn within(&mut self, memory: usize) {
+        self.memory = memory;
+    }
+
     /// At most so many from now on.
     pub fn allow(&mut self, most: usize) {
         self.most = most;
@@ -86,7 +100,9 @@
     /// Whether a call can be taken in.
     pub fn place(&self, call: &Call) -> Place {
         // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
-        let name = self.hasher.hash_one(call.id());
+        let mut hasher = self.hasher;
+        hasher.write(call.id());
+        let name = hasher.finish();
         if self.names.contains(&name) {
             Place::Taken
         } else if self.open.len() >= self.most || self.held + call.size() > self.memory {
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
+use std::os::fd::OwnedFd;
 use wrenfork_dial::Address;
 use wrenfork_identity::sources;
 
@@ -90,6 +91,27 @@
         }
     }
 
+    /// The descriptor alone, for the process that comes next.
+    pub fn into_descriptor(self) -> OwnedFd {
+        match self {
+            Stream::Tcp(stream) => stream.into(),
+            Stream::Unix(stream) => stream.into(),
+        }
+    }
+
+    /// A connection over TCP that another process had.
+    pub fn passed(descriptor: OwnedFd) -> Stream {
+        Stream::Tcp(TcpStream::from_std(descriptor.into()))
+    }
+
+    /// A connection to a place that another process had.
+    pub fn passed_to(place: &Address, descriptor: OwnedFd) -> Stream {
+        match place {
+            Address::Tcp(_) => Stream::passed(descriptor),
+            Address::Unix(_) => Stream::Unix(UnixStream::from_std(descriptor.into())),
+        }
+    }
+
     /// Whether the connection has come up.
     pub fn up(&self) -> bool {
         match self {
--- a/crates/ingress/src/timers.rs
+++ b/crates/ingress/src/timers.rs
@@ -1,12 +1,13 @@
 //! What falls due, and when.
 
 use crate::backends::Link;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use wrenfork_decision::{BackendId, Micros, RequestId};
 
 /// What falls due at a time.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Due {
     /// The module's.
     Module(u32),
@@ -35,7 +36,7 @@
 }
 
 /// The timers that are set.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Timers(BinaryHeap<Reverse<(Micros, Due)>>);
 
 impl Timers {
--- /dev/null
+++ b/crates/ingress/tests/upgrade.rs
@@ -0,0 +1,352 @@
+//! A new version under load: processes of one ingress after each other on one listening socket that the test holds, as a
+//! platform would. A connection that a client keeps must never end, and each request has one answer and one effect.
+
+use std::collections::{HashMap, HashSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+use wrenfork_fleet::small::*;
+
+/// The platform: the clients' socket, the folder that all processes share, and the configuration.
+struct Platform {
+    listener: TcpListener,
+    at: SocketAddr,
+    folder: tempfile::TempDir,
+    setup: Setup,
+}
+
+/// A process of the ingress.
+struct Process {
+    child: Child,
+    management: SocketAddr,
+}
+
+impl Platform {
+    fn new(backends: &[&Backend]) -> Platform {
+        let listener = TcpListener::bind((place().ip(), 0)).unwrap();
+        let at = listener.local_addr().unwrap();
+        let setup = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), backends);
+        Platform { listener, at, folder: tempfile::tempdir().unwrap(), setup }
+    }
+
+    fn channel(&self) -> PathBuf {
+        self.folder.path().join(format!("wrenfork-{}.next", self.at))
+    }
+
+    /// Starts `run` once more; the descriptor is passed as 3 unless another redirection is wanted.
+    fn run(&self, redirect: &str) -> Process {
+        let (file, management) = (self.folder.path().join("config.json"), place());
+        std::fs::write(&file, self.setup.config(self.at)).unwrap();
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("exec {redirect} </dev/null; exec '{}'", self.setup.program)]);
+        command.env("LB_CONFIG", &file).env("LB_MANAGEMENT", management.to_string());
+        command.env("LB_PASSED_SOCKET", "3").env("TMPDIR", self.folder.path());
+        command.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+        command.stdin(Stdio::from(OwnedFd::from(self.listener.try_clone().unwrap())));
+        Process { child: command.stderr(Stdio::piped()).spawn().unwrap(), management }
+    }
+
+    /// Starts a process and waits until it says yes.
+    fn start(&self) -> Process {
+        let process = self.run("3<&0");
+        until("it says yes", || process.ask("readyz").starts_with("+OK"));
+        process
+    }
+}
+
+impl Process {
+    fn ask(&self, call: &str) -> String {
+        let mut text = String::new();
+        if let Ok(mut stream) = TcpStream::connect(self.management) {
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            let _ = stream.write_all(format!("{call}\n").as_bytes());
+            let _ = stream.read_to_string(&mut text);
+        }
+        text
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        let text = self.ask("telemetry");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+    }
+
+    fn signal(&self, name: &str) {
+        let line = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &line]).status().unwrap().success());
+    }
+
+    /// Waits for its end, which must be a good one; its log.
+    fn ended(&mut self) -> String {
+        let mut status = None;
+        until("the process ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        assert_eq!(status.unwrap().code(), Some(0));
+        let mut text = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        text
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Guards against connections that are closed or left unread, answers that go missing and effects that come twice, over two
+/// upgrades on end under load, with the limits half of them would break.
+#[test]
+fn under_load_every_request_has_one_answer_on_the_connection_it_came_on() {
+    let slow = |args: &[String]| Act::Later(Duration::from_millis(15), served(args));
+    let backends = [(); 3].map(|()| Backend::start(slow));
+    let platform = Platform::new(&backends.each_ref());
+    let mut first = platform.start();
+    let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let served_ids = Arc::new(Mutex::new(HashSet::new()));
+    let clients: Vec<_> = (0..12)
+        .map(|c| {
+            let (stop, asked, served_ids, at) =
+                (stop.clone(), asked.clone(), served_ids.clone(), platform.at);
+            thread::spawn(move || {
+                let mut client = Client::connect(at);
+                for n in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    if c % 4 == 3 {
+                        client = Client::connect(at); // and new ones come all the time
+                    }
+                    let ids = [0, 1].map(|i| format!("c{c}-{n}-{i}"));
+                    client.send(&ids.clone().map(|id| call("refer", &id, 2500)).concat());
+                    for id in ids {
+                        let answer = client.answer();
+                        asked.fetch_add(1, Ordering::SeqCst);
+                        if answer == format!("value of {id}") {
+                            served_ids.lock().unwrap().insert(id);
+                        } else {
+                            assert!(answer.starts_with("-BUSY"), "{id}: {answer:?}");
+                        }
+                    }
+                }
+            })
+        })
+        .collect();
+    until("there is load", || asked.load(Ordering::SeqCst) > 200);
+    let mut second = platform.start();
+    assert!(first.ended().contains("handed over"));
+    let before = asked.load(Ordering::SeqCst);
+    until("it serves", || asked.load(Ordering::SeqCst) > before + 200);
+    let third = platform.start();
+    assert!(second.ended().contains("handed over"));
+    let before = asked.load(Ordering::SeqCst);
+    until("it serves", || asked.load(Ordering::SeqCst) > before + 200);
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    // What backends have had: each unsafe request once, and each that was served.
+    let mut had: HashMap<String, usize> = HashMap::new();
+    for backend in &backends {
+        backend.seen.commands.lock().unwrap().iter().for_each(|c| *had.entry(c[2].clone()).or_default() += 1);
+    }
+    assert!(had.values().all(|n| *n == 1), "an effect came twice");
+    let served_ids = served_ids.lock().unwrap();
+    assert!(served_ids.iter().all(|id| had.contains_key(id)) && served_ids.len() > 300);
+    assert_eq!(third.figure("ingress.open_requests"), 0);
+}
+
+/// Guards against what was under way at the moment of the change: requests out, halves of commands, answers unread, quotas.
+#[test]
+fn what_is_under_way_goes_on_where_it_was() {
+    let held = Arc::new(AtomicUsize::new(0));
+    let holding = held.clone();
+    let backend = Backend::start(move |args| match &args[2][..1] {
+        "h" => {
+            holding.fetch_add(1, Ordering::SeqCst);
+            Act::Later(Duration::from_millis(600), served(args))
+        }
+        _ => serve(args),
+    });
+    let platform = Platform::new(&[&backend]);
+    let mut first = platform.start();
+    let client = || Client::connect(platform.at);
+    // A customer that has used up its store.
+    let (mut spent, mut served_before) = (client(), 0);
+    for n in 0..9 {
+        served_before +=
+            usize::from(spent.ask(&call_of(99, "quote", &format!("q{n}"), 900)).starts_with("value"));
+    }
+    assert!(served_before < 9);
+    let (mut out, mut half, mut behind) = (client(), client(), client());
+    out.send(&call("refer", "h1", 2500));
+    behind.send(&[call("refer", "h2", 2500), call("quote", "q20", 900)].concat());
+    let command = call("refer", "r1", 2500);
+    half.send(&command[..40]);
+    until("two are with the backend", || held.load(Ordering::SeqCst) == 2);
+    let second = platform.start();
+    first.ended();
+    assert!(backend.seen.commands.lock().unwrap().len() < 20 && held.load(Ordering::SeqCst) == 2);
+    half.send(&command[40..]);
+    assert_eq!(out.answer(), "value of h1");
+    assert_eq!([behind.answer(), behind.answer()], ["value of h2", "value of q20"]);
+    assert_eq!(half.answer(), "value of r1");
+    assert_eq!(held.load(Ordering::SeqCst), 2, "nothing is sent again");
+    // Its quota is no new one, and an id that is known stays known.
+    assert!(spent.ask(&call_of(99, "quote", "q10", 900)).starts_with("-BUSY"));
+    assert!(client().ask(&call("refer", "h1", 900)).starts_with("-ERR the id is not new"));
+    assert_eq!(backend.seen.ended.load(Ordering::SeqCst), 0, "connections to backends pass on as well");
+    assert_eq!(second.figure("ingress.open_requests"), 0);
+}
+
+/// Guards against a drain that was told to the old process and not to the new, whose configuration holds an older list.
+#[test]
+fn what_drains_stays_drained_and_what_was_retuned_stays_so() {
+    let (one, two, discovery) = (Backend::start(serve), Backend::start(serve), Discovery::start());
+    let mut platform = Platform::new(&[&one, &two]);
+    platform.setup.discovery = Some(discovery.at);
+    let mut first = platform.start();
+    discovery.tell(two.entry("s-1", "draining"));
+    discovery.silence(true);
+    // Two classes change places in the file; those that are enforced keep theirs.
+    let settings = platform.setup.settings.clone();
+    platform.setup.settings = settings.replace(r#""name":"quote""#, r#""name":"report""#);
+    let file = platform.folder.path().join("config.json");
+    std::fs::write(&file, platform.setup.config(platform.at)).unwrap();
+    first.signal("HUP");
+    until("the file is taken", || first.figure("ingress.cfg_accepted") == 1);
+    let second = platform.start();
+    first.ended();
+    let mut client = Client::connect(platform.at);
+    for n in 0..10 {
+        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 900)), format!("value of r{n}"));
+    }
+    assert!(client.ask(&call("quote", "q1", 900)).starts_with("-ERR the class is unknown"));
+    assert_eq!((one.count(), two.count()), (10, 0));
+    assert_eq!((second.figure("ingress.registry_entries"), second.figure("ingress.out_of_rotation")), (2, 1));
+    assert_eq!(second.figure("ingress.operations.refer.fulfilled"), 10, "counts begin with the process");
+}
+
+/// Guards against whoever asks and does not go on: the old process must serve as if nothing had been.
+#[test]
+fn a_next_process_that_fails_changes_nothing() {
+    let backend = Backend::start(serve);
+    let platform = Platform::new(&[&backend]);
+    let mut process = platform.start();
+    let mut client = Client::connect(platform.at);
+    let hello = |layout: u32| [&b"wrenhnd1"[..], &layout.to_be_bytes()].concat();
+    let good = hello(1);
+    for (n, (says, reads)) in [
+        (&b""[..], 0),
+        (b"wren", 0),
+        (b"GET / HTTP/1.1\r\n\r\n", 1),
+        (&hello(9_999), 1),
+        (&good, 0),     // it dies with the state on its way
+        (&good, 10),    // or in the middle of it
+        (&good, 9_999), // or has it all and says nothing
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut channel = UnixStream::connect(platform.channel()).unwrap();
+        channel.write_all(says).unwrap();
+        channel.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        let mut had = vec![0; reads];
+        let _ = channel.read(&mut had);
+        if n % 2 == 0 {
+            drop(channel); // one vanishes, the next is silent until it is given up
+        } else {
+            let _ = channel.read_to_end(&mut Vec::new());
+        }
+        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2900)), format!("value of r{n}"));
+    }
+    // One that takes the state and turns it down.
+    let mut channel = UnixStream::connect(platform.channel()).unwrap();
+    channel.write_all(&good).unwrap();
+    channel.read_exact(&mut [0; 200]).unwrap();
+    channel.write_all(b"Nno use for it").unwrap();
+    assert_eq!(client.ask(&call("refer", "last", 2900)), "value of last");
+    drop(channel);
+    let next = platform.start();
+    assert_eq!(client.ask(&call("refer", "next", 2900)), "value of next");
+    let log = process.ended();
+    assert!(log.contains("no use for it") && log.contains("layout 9999"), "{log}");
+    drop(next);
+}
+
+/// Guards against a start that waits for an old process that is frozen or dead; the one after it finds the way again.
+#[test]
+fn beside_a_frozen_or_dead_process_the_next_one_begins_anew() {
+    let backend = Backend::start(serve);
+    let platform = Platform::new(&[&backend]);
+    let mut frozen = platform.start();
+    frozen.signal("STOP");
+    let mut second = platform.start();
+    // New connections may be taken by either, once the old one goes on; until then by the new one.
+    let mut client = Client::connect(platform.at);
+    assert_eq!(client.ask(&call("refer", "r1", 2900)), "value of r1");
+    frozen.signal("CONT");
+    frozen.signal("TERM");
+    assert!(!frozen.ended().contains("handed over"));
+    assert_eq!(client.ask(&call("refer", "r2", 2900)), "value of r2");
+    // With the old one gone the second takes its place, and hands over as any other.
+    until("the second can be found", || UnixStream::connect(platform.channel()).is_ok());
+    let mut third = platform.start();
+    assert_eq!(client.ask(&call("refer", "r3", 2900)), "value of r3");
+    assert!(second.ended().contains("handed over"));
+    // A crash leaves the file of its channel behind.
+    third.child.kill().unwrap();
+    third.child.wait().unwrap();
+    assert!(platform.channel().exists());
+    let _fourth = platform.start();
+    assert_eq!(Client::connect(platform.at).ask(&call("refer", "r4", 2900)), "value of r4");
+}
+
+/// Guards against signals in the midst: told to stop, a process is no way for the next one, which begins anew.
+#[test]
+fn a_process_that_was_told_to_stop_hands_nothing_over_and_answers_all() {
+    let backend = Backend::start(|args| Act::Later(Duration::from_millis(300), served(args)));
+    let platform = Platform::new(&[&backend]);
+    let mut first = platform.start();
+    let mut client = Client::connect(platform.at);
+    client.send(&call("refer", "r1", 2500));
+    until("it is with the backend", || backend.count() == 1);
+    first.signal("HUP");
+    first.signal("TERM");
+    until("it stops", || first.ask("readyz").starts_with("-ERR stopping"));
+    let _second = platform.start();
+    assert_eq!(client.answer(), "value of r1");
+    drop(client);
+    assert!(first.ended().contains("told to stop"));
+    assert_eq!(Client::connect(platform.at).ask(&call("refer", "r2", 2500)), "value of r2");
+}
+
+/// Guards against a descriptor that is taken for what it is not.
+#[test]
+fn a_bad_descriptor_is_told_and_the_address_bound() {
+    let backend = Backend::start(serve);
+    for (redirect, why) in [
+        ("3</dev/null", "descriptor 3"),
+        ("3<&-", "descriptor 3"),
+        ("3<&0", "not at"), // a listener of another address
+    ] {
+        let mut platform = Platform::new(&[&backend]);
+        let own = place();
+        platform.at = own;
+        let mut process = platform.run(redirect);
+        until("it says yes", || process.ask("readyz").starts_with("+OK"));
+        let asked = Client::connect(own).ask(&call("refer", "r1", 2500));
+        assert_eq!(asked, "value of r1");
+        process.signal("TERM");
+        let log = process.ended();
+        assert!(log.contains("LB_PASSED_SOCKET") && log.contains(why), "{redirect}: {log}");
+    }
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,6 +1,7 @@
 //! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
 
 use crate::resp;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::ops::Range;
 use wrenfork_decision::{CustomerId, Micros, Repeat, Request};
@@ -52,7 +53,7 @@
 }
 
 /// A client's request.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Call {
     /// What the module is told; its id and deadline are the host's to fill in.
     pub request: Request,
