Answers over 64 KiB pass on to the client as they come, pulled by its room

From the first byte on the module is told and the attempt is the client's: no deadline, no copy, no retry; what breaks ends the client's connection. The module counts the place as free then (on_first_byte). Ends of both processes of an upgrade go on with such answers.

--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -350,6 +350,11 @@
         if let Some(o) = self.requests.get_mut(&id) {
             o.call_off(Some(attempt), self.s.limits.cancel, act);
             o.streaming = true;
+            // The backend's work is done: how fast the client reads must not keep others from a place.
+            if let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out && !a.lost) {
+                a.lost = true;
+                self.pools[a.pool].settled(a.guest);
+            }
         }
     }
 
--- a/crates/decision/tests/settings.rs
+++ b/crates/decision/tests/settings.rs
@@ -243,3 +243,71 @@
         prop_assert!(owed.is_empty(), "{owed:?}");
     }
 }
+
+/// Guards against an open request that loses attempts, or gains some, when the settings change.
+#[test]
+fn an_open_request_keeps_as_many_attempts_as_it_came_with() {
+    for (before, after, again) in [(3, 1, true), (1, 3, false)] {
+        let with = |most| {
+            let mut s = settings();
+            s.limits.max_attempts = most;
+            s
+        };
+        let mut rig = Rig::with(with(before), 4);
+        let (id, actions) = rig.ask(0, 0, 1, 1.0);
+        let first = sends(&actions)[0];
+        rig.feed(Event::Settings(Box::new(with(after))));
+        let actions = rig.settle(id, 0, first, Outcome::Error);
+        assert_eq!(!sends(&actions).is_empty(), again, "{before} attempts, then {after}");
+    }
+}
+
+/// Guards against slow readers of long answers that hold the places of a fleet which has nothing to do.
+#[test]
+fn an_answer_that_has_begun_holds_no_place() {
+    let mut rig = Rig::with(settings(), 1);
+    let (mut sent, mut refused) = (0, 0);
+    for n in 0..100 {
+        let (id, actions) = rig.ask(0, 0, n, 1.0);
+        match sends(&actions).first() {
+            Some(_) => {
+                sent += 1;
+                rig.feed(Event::FirstByte { id, attempt: 0 });
+            }
+            None => refused += 1,
+        }
+    }
+    assert_eq!((sent, refused), (100, 0), "the readers of those before hold the places");
+}
+
+/// Guards against a record that is lost, or read as another, on the way to the next process: both must decide alike.
+#[test]
+fn a_gateway_that_was_written_down_and_read_decides_as_the_one_before() {
+    let mut rig = Rig::with(settings(), 6);
+    let mut open = Vec::new();
+    for n in 0..200u64 {
+        let (id, actions) = rig.ask((n % 3) as u8, (n % 4) as u16, n % 17, 1.0);
+        open.extend(sends(&actions).first().map(|b| (id, *b)));
+        if n % 3 == 0 {
+            if let Some((id, b)) = open.pop() {
+                rig.settle(id, 0, b, if n % 5 == 0 { Outcome::Error } else { Outcome::Ok });
+            }
+        }
+    }
+    let bytes = postcard::to_stdvec(&rig.gateway).unwrap();
+    let mut twin = Rig { gateway: postcard::from_bytes(&bytes).unwrap(), now: rig.now, next: rig.next };
+    assert_eq!(postcard::to_stdvec(&twin.gateway).unwrap(), bytes);
+    for n in 0..300u64 {
+        let (one, two) = (
+            rig.ask((n % 3) as u8, (n % 4) as u16, n % 23, 1.0),
+            twin.ask((n % 3) as u8, (n % 4) as u16, n % 23, 1.0),
+        );
+        assert_eq!(one, two, "request {n}");
+        if let Some((id, b)) = open.pop() {
+            assert_eq!(rig.settle(id, 0, b, Outcome::Ok), twin.settle(id, 0, b, Outcome::Ok));
+        }
+    }
+    for cut in 0..bytes.len().min(400) {
+        assert!(postcard::from_bytes::<Gateway>(&bytes[..cut]).is_err(), "cut at {cut}");
+    }
+}
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -12,6 +12,7 @@
 use wrenfork_config::settings::note_field;
 use wrenfork_decision::{Availability, BackendId, Micros, Outcome, Report, RequestId};
 use wrenfork_dial::{Address, Book, Fared, Next, Race};
+use wrenfork_wire::long::{Long, Whole};
 use wrenfork_wire::resp::{self, Element, Kind, Reply};
 
 /// Bytes read at once.
@@ -24,6 +25,9 @@
 const REST: Micros = 2_000;
 /// How long the rest of an answer may take to come once it has begun.
 const PATIENCE: Micros = 500_000;
+/// How long one that passes on as it comes may stand still, where the client would take more: as long as a client waits for a
+/// whole request of the longest deadline that the platform counts with.
+const STANDSTILL: Micros = 3_000_000;
 
 /// A reset that comes this soon after a request says that the connection was dead already.
 const AT_ONCE: Micros = 10_000;
@@ -134,6 +138,10 @@
     out: Vec<u8>,
     written: usize,
     buf: Vec<u8>,
+    /// Its answer is too long to be kept whole and passes on as it comes.
+    long: Option<Long>,
+    /// It is not read: the client has to take first what has come.
+    paused: bool,
 }
 
 /// A race of connects, kept with the connection that has the work.
@@ -168,8 +176,24 @@
     /// With its stream again.
     fn with(self, stream: Stream) -> Conn {
         let Conn { stream: (), serial, backend, place, connected, race, work, since, idled, .. } = self;
-        let Conn { heard, out, written, buf, .. } = self;
-        Conn { stream, serial, backend, place, connected, race, work, since, idled, heard, out, written, buf }
+        let Conn { heard, out, written, buf, long, paused, .. } = self;
+        Conn {
+            stream,
+            serial,
+            backend,
+            place,
+            connected,
+            race,
+            work,
+            since,
+            idled,
+            heard,
+            out,
+            written,
+            buf,
+            long,
+            paused,
+        }
     }
 }
 
@@ -213,6 +237,10 @@
     pub done: Vec<Done>,
     /// Attempts whose command was written whole, since the start.
     pub relayed: u64,
+    /// Answers that pass on as they come, of which some has come.
+    flows: Vec<Link>,
+    /// Connections to be read again before any socket shows as ready.
+    again: Vec<Link>,
     /// Races in which something has happened, each by the connection that has the work.
     races: Vec<Link>,
 }
@@ -273,6 +301,8 @@
             tokens,
             done: Vec::new(),
             relayed: 0,
+            flows: Vec::new(),
+            again: Vec::new(),
             races: Vec::new(),
         }
     }
@@ -326,6 +356,10 @@
                 }
             }
         }
+        for (key, conn) in conns.iter().filter(|(_, conn)| conn.long.is_some()) {
+            let link = Link { key: *key, serial: conn.serial };
+            if conn.paused { &mut self.flows } else { &mut self.again }.push(link);
+        }
         self.conns = conns.into_iter().collect();
         let conns = &self.conns;
         self.pools.values_mut().for_each(|p| p.idle.retain(|key| conns.contains(*key)));
@@ -483,6 +517,8 @@
             out: Vec::new(),
             written: 0,
             buf: Vec::new(),
+            long: None,
+            paused: false,
         });
         Some(key)
     }
@@ -709,15 +745,84 @@
         }
     }
 
+    // ---- Answers that pass on as they come ----
+
+    /// An answer of which more has come than was passed on.
+    pub fn flow(&mut self) -> Option<Link> {
+        self.flows.pop()
+    }
+
+    /// What a connection is busy with, and since when, if its answer passes on as it comes.
+    pub fn flowing(&self, link: Link) -> Option<(Work, Micros)> {
+        let conn = self.alive(link).filter(|c| c.long.is_some())?;
+        Some((conn.work?, conn.since))
+    }
+
+    /// Whether an answer stands still until its client has room.
+    pub fn waits(&self, link: Link) -> bool {
+        self.alive(link).is_some_and(|c| c.paused)
+    }
+
+    /// Passes on what has come; the connection is read on from the next turn.
+    pub fn pull(&mut self, link: Link, out: &mut Vec<u8>, now: Micros) {
+        if self.alive(link).is_none() {
+            return;
+        }
+        let conn = &mut self.conns[link.key];
+        let Some(long) = &mut conn.long else { return };
+        let fed = long.feed(&conn.buf, out);
+        conn.buf.clear();
+        match fed {
+            Ok(None) => {
+                (conn.paused, conn.heard) = (false, now);
+                self.again.push(link);
+            }
+            Ok(Some(Whole { report: text, alone })) => {
+                (conn.long, conn.paused) = (None, false);
+                let report = text.as_deref().and_then(report);
+                self.end(link.key, Outcome::Ok, Vec::new(), report, now);
+                if !self.rest(link.key, now, alone, true) {
+                    self.remove(link.key);
+                }
+            }
+            Err(_) => {
+                let outcome = conn.broken();
+                self.end(link.key, outcome, Vec::new(), None, now);
+                self.remove(link.key);
+            }
+        }
+    }
+
+    /// Whether there is something to read before any socket shows as ready.
+    pub fn has_more(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    /// Reads on where a turn's bound ended the reading.
+    pub fn read_again(&mut self, now: Micros) {
+        for link in std::mem::take(&mut self.again) {
+            if self.alive(link).is_some() {
+                self.read(link.key, now, true);
+            }
+        }
+    }
+
     fn read(&mut self, key: usize, now: Micros, closed: bool) {
         for _ in 0..READS_A_TURN {
             let conn = &mut self.conns[key];
+            if conn.paused {
+                return;
+            }
             match conn.stream.read(&mut self.chunk) {
                 Ok(n) if n > 0 => {
                     if conn.buf.is_empty() {
                         conn.heard = now;
                     }
                     conn.buf.extend_from_slice(&self.chunk[..n]);
+                    if conn.long.is_some() {
+                        (conn.paused, conn.heard) = (true, now);
+                        return self.flows.push(Link { key, serial: conn.serial });
+                    }
                     if !self.take_answer(key, now) {
                         return self.remove(key);
                     }
@@ -759,6 +864,10 @@
         let (reply, end) = match resp::reply(&conn.buf) {
             Ok(None) => return true,
             Ok(Some(found)) => found,
+            Err(_) if Self::begin_long(conn, work) => {
+                self.flows.push(Link { key, serial: conn.serial });
+                return true;
+            }
             Err(_) => {
                 let outcome = conn.broken();
                 self.end(key, outcome, Vec::new(), None, now);
@@ -773,6 +882,20 @@
         let clean = judged.is_some() && conn.sent() && alone;
         let (outcome, value, report) = judged.unwrap_or((broken, Vec::new(), None));
         self.end(key, outcome, value, report, now);
+        self.rest(key, now, alone, clean)
+    }
+
+    /// Whether an answer passes on as it comes from here on: its value is too long to be kept whole.
+    fn begin_long(conn: &mut Conn, work: Work) -> bool {
+        let attempt = matches!(work, Work::Attempt(..)) && conn.sent();
+        let Some((long, at)) = attempt.then(|| Long::begin(&conn.buf)).flatten() else { return false };
+        conn.buf.drain(..at);
+        (conn.long, conn.paused) = (Some(long), true);
+        true
+    }
+
+    /// A connection whose answer has come goes back to its pool, if it is of use: a sound answer, with nothing behind it.
+    fn rest(&mut self, key: usize, now: Micros, alone: bool, clean: bool) -> bool {
         let conn = &mut self.conns[key];
         let pool = self.pools.get_mut(&conn.backend).filter(|p| p.book.has(&conn.place));
         let Some(pool) = pool else { return false };
@@ -807,7 +930,10 @@
         let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
         old.into_iter().for_each(|key| self.remove(key));
         // An answer that began and goes no further will not be whole: a line or a length without an end.
-        let stuck = |c: &Conn| !c.buf.is_empty() && now > c.heard + PATIENCE;
+        let stuck = |c: &Conn| match c.long {
+            Some(_) => !c.paused && now > c.heard + STANDSTILL,
+            None => !c.buf.is_empty() && now > c.heard + PATIENCE,
+        };
         let stuck: Vec<usize> = self.conns.iter().filter(|(_, c)| stuck(c)).map(|(key, _)| key).collect();
         for key in stuck {
             let outcome = self.conns[key].broken();
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -28,6 +28,9 @@
 /// are descriptors, must fit in the memory.
 const MOST_WAITING: usize = 256;
 const MOST_UNREAD: usize = 64 * 1024;
+/// Bytes of an answer that passes on as it comes which may wait for the client to read them: beyond that, no more is read
+/// from the backend. As many as there are descriptors must fit in the memory.
+const MOST_PASSING: usize = 32 * 1024;
 /// Bad commands in a row after which a connection is closed: each costs an answer, and some clients never tire.
 const MOST_ERRORS: u32 = 8;
 /// How long before the latest connection one must have come to be closed for never having said anything.
@@ -63,6 +66,8 @@
 #[derive(Serialize, Deserialize)]
 enum Slot {
     Waiting(RequestId),
+    /// Its answer passes on as it comes; behind others in the line it is left where it is until they are written.
+    Passing(RequestId),
     Ready(Vec<u8>),
 }
 
@@ -248,6 +253,8 @@
     memory: usize,
     /// What came since it was last looked at, in order.
     pub incoming: VecDeque<Incoming>,
+    /// Requests whose answers may pass on again.
+    pub hungry: Vec<RequestId>,
 }
 
 impl Clients {
@@ -272,6 +279,7 @@
             held: 0,
             memory,
             incoming: VecDeque::new(),
+            hungry: Vec::new(),
         }
     }
 
@@ -632,7 +640,7 @@
         let found = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial);
         let Some(c) = found.filter(|c| origin.slot >= c.first) else { return };
         let at = (origin.slot - c.first) as usize;
-        if at == 0 && matches!(c.slots.front(), Some(Slot::Waiting(_))) {
+        if at == 0 && matches!(c.slots.front(), Some(Slot::Waiting(_) | Slot::Passing(_))) {
             c.slots.pop_front();
             c.first += 1;
             c.out.extend_from_slice(text);
@@ -647,12 +655,50 @@
                 c.out.extend_from_slice(&text);
             }
         }
+        if let Some(Slot::Passing(id)) = c.slots.front() {
+            self.hungry.push(*id);
+        }
         c.recount(&mut self.held);
         if !std::mem::replace(&mut c.dirty, true) {
             self.dirty.push(origin.key);
         }
     }
 
+    /// Where an answer that passes on as it comes is written to, if there is room for more of it now; else the client is
+    /// `hungry` once there is. None as well where the client has gone.
+    pub fn passing(&mut self, origin: Origin) -> Option<&mut Vec<u8>> {
+        let found = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial);
+        let c = found.filter(|c| origin.slot >= c.first)?;
+        let at = (origin.slot - c.first) as usize;
+        if let Some(slot) = c.slots.get_mut(at) {
+            if let Slot::Waiting(id) = *slot {
+                *slot = Slot::Passing(id);
+            }
+        }
+        // Where memory is short all go on, each with no more than it reads at once.
+        let most = if self.held > self.memory / 2 { 1 } else { MOST_PASSING };
+        (at == 0 && c.out.len() - c.written < most).then_some(&mut c.out)
+    }
+
+    /// Something was written to [`Clients::passing`].
+    pub fn passed(&mut self, origin: Origin) {
+        if let Some(c) = self.conns.get_mut(origin.key) {
+            c.recount(&mut self.held);
+            if !std::mem::replace(&mut c.dirty, true) {
+                self.dirty.push(origin.key);
+            }
+        }
+    }
+
+    /// An answer that had begun to pass on can't be finished: its connection ends, so that the client can tell. What stood
+    /// before it has been written, as far as the client read it.
+    pub fn cut(&mut self, origin: Origin) {
+        if let Some(c) = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial) {
+            let _ = c.stream.write(&c.out[c.written..]);
+            self.remove(origin.key);
+        }
+    }
+
     /// Writes what there is to write: one write for all answers that a connection gets in a turn.
     pub fn flush(&mut self, now: Micros) {
         for key in std::mem::take(&mut self.dirty) {
@@ -663,7 +709,7 @@
                     break false;
                 }
                 match c.stream.write(&c.out[c.written..]) {
-                    Ok(n) => c.written += n,
+                    Ok(n) => (c.written, c.since) = (c.written + n, now.max(c.since)),
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => break false,
                     Err(_) => break true,
@@ -679,6 +725,13 @@
                 c.out.shrink_to(SMALL);
                 c.recount(&mut self.held);
             }
+            if let Some(Slot::Passing(id)) = c.slots.front() {
+                // What is written makes room at once, or a long answer would be kept whole behind a slow reader.
+                if c.out.len() - c.written < MOST_PASSING {
+                    c.out.drain(..std::mem::take(&mut c.written));
+                    self.hungry.push(*id);
+                }
+            }
             // Commands that were held back by a full line of answers are taken up again.
             if c.stalled && !c.full() {
                 c.stalled = false;
@@ -752,7 +805,10 @@
         self.lingering -= usize::from(c.linger_until.is_some());
         self.surplus -= usize::from(c.surplus);
         self.held -= c.counted;
-        let waiting = c.slots.iter().filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
+        let waiting = c.slots.iter().filter_map(|s| match s {
+            Slot::Waiting(id) | Slot::Passing(id) => Some(*id),
+            Slot::Ready(_) => None,
+        });
         self.incoming.extend(waiting.map(Incoming::Gone));
     }
 
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -300,7 +300,12 @@
     }
 
     fn timeout(&self) -> Duration {
-        if self.accept_more || self.peers_more || self.calls_more || self.clients.has_more() {
+        if self.accept_more
+            || self.peers_more
+            || self.calls_more
+            || self.clients.has_more()
+            || self.backends.has_more()
+        {
             return Duration::ZERO;
         }
         // Nothing falls due before there is a new clock.
@@ -321,6 +326,8 @@
         if std::mem::take(&mut self.peers_more) {
             self.hear_peers();
         }
+        self.backends.read_again(self.clock.now());
+        self.pump();
         self.clients.read_again(self.now);
         self.take_incoming();
         for &(token, writable, closed) in ready.iter() {
@@ -354,6 +361,7 @@
         }
         self.fire();
         self.clients.flush(self.now);
+        self.feed();
         self.take_incoming();
         // Last, so that the figures hold all that this turn brought.
         if std::mem::take(&mut self.calls_more) {
@@ -631,7 +639,12 @@
                 Incoming::Gone(id) => {
                     if let Some(open) = self.requests.owing(id) {
                         open.over = true;
+                        let passing = open.passing;
                         self.events.push_back(Event::Withdrawn(id));
+                        // Nobody reads on: the module calls nothing off that is the client's.
+                        if let Some(attempt) = passing {
+                            self.abandon(id, attempt, None, |_| Outcome::Cancelled);
+                        }
                     }
                     self.forget(id);
                 }
@@ -677,6 +690,7 @@
                 Due::Module(token) => self.events.push_back(Event::Timer(token)),
                 Due::Expire(id, attempt) => self.expire(id, attempt),
                 Due::Deadline(id) => self.deadline(id),
+                Due::Overdue(id) if self.requests.get(id).is_some_and(|o| o.passing.is_some()) => {}
                 Due::Overdue(id) => self.overdue(id),
                 Due::Connect(link) => self.backends.connect_overdue(link, self.now),
                 Due::Race(link) => self.race(link),
@@ -724,13 +738,16 @@
 
     /// Gives an attempt up whose time is over. It may have run only if its last byte was written.
     fn expire(&mut self, id: RequestId, attempt: u16) {
+        if self.requests.get(id).is_some_and(|o| o.passing == Some(attempt)) {
+            return; // from its first byte on nothing but a standstill ends it
+        }
         let outcome = |sent| if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
         self.abandon(id, attempt, Some(self.now), outcome);
     }
 
     /// Gives up what is out of a request.
     fn deadline(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get(id) else { return };
+        let Some(open) = self.requests.get(id).filter(|o| o.passing.is_none()) else { return };
         let attempts = u16::try_from(open.attempts.len()).unwrap_or(u16::MAX);
         self.timers.set(open.overdue, Due::Overdue(id));
         (0..attempts).for_each(|attempt| self.expire(id, attempt));
@@ -769,6 +786,9 @@
             while let Some(link) = self.backends.raced() {
                 self.race(link);
             }
+            while let Some(link) = self.backends.flow() {
+                self.pass_on(link);
+            }
             for done in std::mem::take(&mut self.backends.done) {
                 self.finish(done);
             }
@@ -784,10 +804,48 @@
         }
     }
 
+    /// Passes on what has come of a long answer, as far as its client has room for it.
+    fn pass_on(&mut self, link: Link) {
+        let Some((Work::Attempt(id, attempt), began)) = self.backends.flowing(link) else { return };
+        let now = self.clock.now();
+        let Some(open) = self.requests.get_mut(id) else { return };
+        if open.over || open.passing.is_some_and(|first| first != attempt) {
+            return self.abandon(id, attempt, None, |_| Outcome::Cancelled); // another one was first
+        }
+        if open.passing.is_none() {
+            open.passing = Some(attempt);
+            if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
+                a.took = Some(now.saturating_sub(began));
+            }
+            self.events.push_back(Event::FirstByte { id, attempt });
+        }
+        let origin = open.origin;
+        if let Some(out) = self.clients.passing(origin) {
+            self.backends.pull(link, out, now);
+            self.clients.passed(origin);
+        }
+    }
+
+    /// Goes on with the long answers whose clients have room again.
+    fn feed(&mut self) {
+        let mut hungry = std::mem::take(&mut self.clients.hungry);
+        for id in hungry.drain(..) {
+            let open = self.requests.get(id);
+            let attempt = open.and_then(|o| o.attempts.get(usize::from(o.passing?)));
+            if let Some(link) = attempt.and_then(|a| a.link).filter(|link| self.backends.waits(*link)) {
+                self.pass_on(link);
+            }
+        }
+        if self.clients.hungry.is_empty() {
+            self.clients.hungry = hungry;
+        }
+        self.pump();
+    }
+
     /// An attempt or a probe has ended.
     fn finish(&mut self, done: Done) {
         let Done { work, backend, outcome, began, report, value } = done;
-        let took = self.clock.now().saturating_sub(began);
+        let mut took = self.clock.now().saturating_sub(began);
         let (id, attempt) = match work {
             Work::Attempt(id, attempt) => (id, attempt),
             Work::Probe => return self.events.push_back(Event::Probed { backend, outcome, took, report }),
@@ -796,6 +854,10 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
             a.link = None;
+            took = a.took.unwrap_or(took); // how long a client reads says nothing of the backend
+        }
+        if open.passing == Some(attempt) && outcome != Outcome::Ok {
+            self.cut(id);
         }
         if outcome == Outcome::Ok {
             // The first one is the final answer.
@@ -827,7 +889,19 @@
         self.forget(id);
     }
 
+    /// Ends a request whose answer had begun to pass on and can't be finished.
+    fn cut(&mut self, id: RequestId) {
+        if let Some(open) = self.requests.owing(id) {
+            open.over = true;
+            self.ledger.ended(open.call.request.class, End::Failed);
+            self.clients.cut(open.origin);
+        }
+    }
+
     fn fail(&mut self, id: RequestId) {
+        if self.requests.get(id).is_some_and(|o| o.passing.is_some()) {
+            return self.cut(id);
+        }
         self.answer(id, b"-ERR failed\r\n", End::Failed);
     }
 
@@ -876,7 +950,7 @@
         let number = open.attempts.len();
         let attempt = u16::try_from(number).unwrap_or(u16::MAX);
         let until = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
-        open.attempts.push(Attempt { backend, began: self.now, link: None });
+        open.attempts.push(Attempt { backend, began: self.now, link: None, took: None });
         if open.over || until <= self.now || number >= open.most {
             let event = settled(id, attempt, (backend, self.now), Outcome::Moot, open.over, self.now);
             return self.events.push_back(event);
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -19,6 +19,8 @@
     pub began: Micros,
     /// Its connection, while it is out.
     pub link: Option<Link>,
+    /// How long its answer took to begin, where it passes on as it comes.
+    pub took: Option<Micros>,
 }
 
 /// A request that is not forgotten yet.
@@ -34,6 +36,8 @@
     pub attempts: Vec<Attempt>,
     /// As many as it may have: those that were allowed when it came.
     pub most: usize,
+    /// The attempt whose answer passes on as it comes: the request is that one's, with no other and no time-out.
+    pub passing: Option<u16>,
     /// It has its final answer, or its client has gone.
     pub over: bool,
 }
@@ -126,7 +130,8 @@
         self.names.insert(name);
         let (deadline, overdue) = times;
         let (attempts, over) = (Vec::new(), false);
-        self.open.insert(id, Open { call, name, origin, deadline, overdue, attempts, most, over });
+        self.open
+            .insert(id, Open { call, name, origin, deadline, overdue, attempts, most, passing: None, over });
     }
 
     pub fn get(&self, id: RequestId) -> Option<&Open> {
--- /dev/null
+++ b/crates/ingress/tests/long.rs
@@ -0,0 +1,196 @@
+//! Answers too long to be kept whole, by the ingress's sockets: they pass on as they come, with both ends slow, broken or gone.
+
+use std::io::{ErrorKind, Read};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+use wrenfork_fleet::small::*;
+
+const LONGEST: usize = 4 << 20;
+
+fn setup(backends: &[&Backend]) -> Setup {
+    Setup::of(env!("CARGO_BIN_EXE_wrenfork"), backends)
+}
+
+/// A value that is its request's own, of so many bytes.
+fn value(id: &str, length: usize) -> String {
+    id.bytes().cycle().take(length).map(char::from).collect()
+}
+
+fn long(args: &[String], length: usize) -> Vec<u8> {
+    format!("*3\r\n${length}\r\n{}\r\n$-1\r\n$9\r\nutil=0.25\r\n", value(&args[2], length)).into_bytes()
+}
+
+/// The most memory that a process has had resident, in KiB.
+fn peak(ingress: &Ingress) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", ingress.child.id())).unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Reads on until the end of what comes, or so many bytes; how many came, and whether the connection has ended.
+fn read_some(stream: &mut TcpStream, most: usize) -> (usize, bool) {
+    let (mut had, mut chunk) = (0, vec![0; 64 * 1024]);
+    while had < most {
+        let room = chunk.len().min(most - had);
+        match stream.read(&mut chunk[..room]) {
+            Ok(0) => return (had, true),
+            Ok(n) => had += n,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return (had, true),
+            Err(e) => panic!("{e}"),
+        }
+    }
+    (had, false)
+}
+
+/// Guards against values that are kept whole: 32 of 4 MiB at once, to readers that take nothing for a while, in 24 MiB.
+#[test]
+fn many_of_the_longest_pass_through_a_small_memory() {
+    let backend = Backend::start(|args| Act::Say(long(args, LONGEST)));
+    let others = [(); 3].map(|()| Backend::start(|args| Act::Say(long(args, LONGEST))));
+    let small = Backend::start(serve);
+    let mut setup = setup(&[&backend, &others[0], &others[1], &others[2]]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let mut clients: Vec<Client> = (0..32).map(|_| ingress.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&call("refer", &format!("r{n}"), 7000));
+        // One after the other begins, and nobody reads: those that have begun keep no place from the next.
+        until("it has begun", || client.0.peek(&mut [0]).is_ok_and(|n| n > 0));
+    }
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert!(client.answer() == value(&format!("r{n}"), LONGEST), "r{n} is not what its backend gave");
+    }
+    let peak = peak(&ingress);
+    assert!(peak < 24 * 1024, "{peak} KiB resident");
+    assert_eq!(small.count(), 0);
+}
+
+/// Guards against a slow reader, or a value behind others, that keeps anybody else from being served or changes the order.
+#[test]
+fn a_slow_reader_holds_up_nobody_and_answers_keep_their_order() {
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "l" => Act::Say(long(args, 1 << 20)),
+        "s" => Act::Later(Duration::from_millis(400), served(args)),
+        _ => serve(args),
+    });
+    let ingress = setup(&[&backend]).start();
+    let (mut slow, mut line) = (ingress.client(), ingress.client());
+    slow.send(&call("refer", "l0", 2000));
+    until("it has begun", || slow.0.peek(&mut [0]).is_ok_and(|n| n > 0));
+    line.send(&["s1", "l2", "q3", "l4", "q5"].map(|id| call("refer", id, 2500)).concat());
+    for n in 0..20 {
+        assert_eq!(ingress.client().ask(&call("refer", &format!("q1{n}"), 900)), format!("value of q1{n}"));
+    }
+    assert_eq!(line.answer(), "value of s1");
+    assert!(line.answer() == value("l2", 1 << 20));
+    assert_eq!(line.answer(), "value of q3");
+    assert!(line.answer() == value("l4", 1 << 20));
+    assert_eq!(line.answer(), "value of q5");
+    thread::sleep(Duration::from_millis(2500)); // past its deadline, which was for the first byte
+    assert!(slow.answer() == value("l0", 1 << 20));
+    assert_eq!(slow.ask(&call("refer", "q9", 900)), "value of q9");
+}
+
+/// Guards against a deadline, or a second copy, that ends an answer which comes slowly but comes.
+#[test]
+fn once_begun_only_a_standstill_ends_it() {
+    let backend = Backend::start(|args| {
+        let bytes = long(args, 300_000);
+        Act::Parts(if args[2] == "q1" { 100_000 } else { 20 }, Duration::from_millis(1400), bytes)
+    });
+    let other = Backend::start(|args| Act::Say(long(args, 300_000)));
+    let ingress = setup(&[&backend]).start();
+    // 900 ms, and a repeatable class: neither its end nor a second copy comes in between.
+    assert!(ingress.client().ask(&call("quote", "q1", 900)) == value("q1", 300_000));
+    assert!(ingress.client().ask(&call("quote", "q2", 900)) == value("q2", 300_000));
+    assert_eq!((backend.count(), other.count()), (2, 0));
+}
+
+/// Guards against half a value that seems whole, and a second try of what the client has begun to read.
+#[test]
+fn what_breaks_in_the_middle_ends_the_clients_connection() {
+    let (cut, id) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(0)));
+    let at = cut.clone();
+    let backend = Backend::start(move |args| {
+        let mut bytes = long(args, 200_000);
+        let at = at.load(Ordering::SeqCst);
+        match at {
+            1 => {
+                let end = bytes.len() - 22; // the end of the value is another
+                bytes[end] = b'x';
+            }
+            2 => bytes.extend_from_slice(&[b'z'; 10]),
+            _ => bytes.truncate(at),
+        }
+        let whole = bytes.len();
+        Act::Parts(whole, Duration::ZERO, bytes)
+    });
+    let ingress = setup(&[&backend]).start();
+    for at in [150_000, 199_990, 200_012, 200_020, 1] {
+        cut.store(at, Ordering::SeqCst);
+        let mut client = ingress.client();
+        let name = {
+            let mut id = id.lock().unwrap();
+            *id += 1;
+            format!("b{id}")
+        };
+        let before = backend.count();
+        client.send(&call("quote", &name, 5000));
+        until("the backend has it", || backend.count() == before + 1);
+        if at > 1 {
+            until("it has begun", || client.0.peek(&mut [0]).is_ok_and(|n| n > 0));
+            backend.seen.hang_up.store(true, Ordering::SeqCst);
+        }
+        let (had, ended) = read_some(&mut client.0, LONGEST);
+        backend.seen.hang_up.store(false, Ordering::SeqCst);
+        assert!(ended && had < "$200000\r\n".len() + 200_002, "cut at {at}: {had} bytes, ended: {ended}");
+        assert_eq!(backend.count(), before + 1, "it was sent again");
+    }
+    // What comes behind a whole one spoils nothing but its connection.
+    cut.store(2, Ordering::SeqCst);
+    assert!(ingress.client().ask(&call("quote", "b9", 5000)) == value("b9", 200_000));
+    // Beyond the bound nothing is passed on.
+    let huge = Backend::start(|args| Act::Say(long(args, LONGEST + 1)));
+    let ingress = setup(&[&huge]).start();
+    assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "-ERR failed");
+}
+
+/// Guards against a backend that goes on for a client that has left, and against one that stands still for ever.
+#[test]
+fn a_client_that_leaves_and_a_backend_that_stands_still_are_given_up() {
+    let backend = Backend::start(|args| {
+        if args[2] == "still" {
+            return Act::Parts(100_000, Duration::from_secs(60), long(args, 200_000));
+        }
+        Act::Say(long(args, LONGEST))
+    });
+    let ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    client.send(&call("refer", "l1", 2000));
+    until("it has begun", || client.0.peek(&mut [0]).is_ok_and(|n| n > 0));
+    drop(client);
+    until("the backend's connection ends", || backend.seen.ended.load(Ordering::SeqCst) == 1);
+    let mut client = ingress.client();
+    client.send(&call("refer", "still", 2000));
+    let (had, ended) = read_some(&mut client.0, LONGEST);
+    assert!(ended && (50_000..200_000).contains(&had), "{had}");
+}
+
+/// Guards against a place in the answer where a cut of the bytes is taken for something else.
+#[test]
+fn an_answer_may_be_cut_anywhere() {
+    let backend = Backend::start(|args| {
+        let bytes = long(args, 500_000);
+        let at = args[2][1..].parse::<usize>().unwrap();
+        Act::Parts(at, Duration::from_millis(20), bytes)
+    });
+    let ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    for at in [1, 3, 5, 11, 12, 13, 14, 70_000, 500_010, 500_012, 500_013, 500_014, 500_020, 500_030] {
+        let id = format!("p{at}");
+        assert!(client.ask(&call("refer", &id, 3000)) == value(&id, 500_000), "cut at {at}");
+    }
+}
--- a/crates/wire/src/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -87,7 +87,7 @@
 }
 
 /// A length that stands behind its mark at `at`, and where the next thing begins.
-fn head(buf: &[u8], at: usize, most: usize) -> Step<(Option<usize>, usize)> {
+pub(crate) fn head(buf: &[u8], at: usize, most: usize) -> Step<(Option<usize>, usize)> {
     let Some((digits, next)) = line(buf, at + 1, MOST_DIGITS)? else { return Ok(None) };
     Ok(Some((length(&buf[digits], most)?, next)))
 }
@@ -129,7 +129,7 @@
     Ok(Some(at))
 }
 
-fn element(buf: &[u8], at: usize, most: usize) -> Step<Element> {
+pub(crate) fn element(buf: &[u8], at: usize, most: usize) -> Step<Element> {
     let Some(mark) = buf.get(at) else { return Ok(None) };
     let kind = match mark {
         b'+' => Kind::Simple,
