--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -135,6 +135,15 @@
         })
     }
 
+    /// A digest of the names in a list at their places (FNV-1a, folded).
+    fn words(&self, list: &str) -> u8 {
+        let names =
+            (0..self.count(list).unwrap_or(0)).map(|i| self.text(&format!("{list}.{i}.name")).unwrap_or(""));
+        let bytes = names.flat_map(|name| name.bytes().chain([0]));
+        let hash = bytes.fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        hash.to_le_bytes().into_iter().fold(0, |a, b| a ^ b)
+    }
+
     /// What the module is told at its start.
     pub fn settings(&self) -> Result<Settings, String> {
         let classes = (0..self.count("grades")?).map(|i| self.class(i)).collect::<Result<Vec<_>, _>>()?;
@@ -181,6 +190,7 @@
             meter_period: self.micros("family_info.meter_period_us")?,
             post_paid: self.flag("family_info.post_paid")?,
             pools: 0,
+            words: [self.words("grades"), self.words("contracts")],
         })
     }
 
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1062,7 +1062,8 @@
             return; // a repeat, or overtaken
         }
         (peer.seq, peer.silent_until) = (m.seq, 0);
-        for s in m.samples {
+        let [classes, plans] = [0, 1].map(|n| m.words[n] == self.s.words[n]); // the same places there as here
+        for s in m.samples.into_iter().filter(|_| classes) {
             let class = usize::from(s.class);
             if let (Some(bid), Some(k)) = (self.tags.get(&s.tag), self.s.classes.get(class)) {
                 let (bid, aim) = (*bid, k.aim as f64);
@@ -1075,7 +1076,12 @@
         }
         match m.body {
             Body::Uses(uses) => {
-                let news = uses.into_iter().filter_map(|u| self.on_use(from.0, m.born >= mine, u));
+                // Of plans that have other places there, one that is known here keeps its own.
+                let own = |c: &Customers, u: &Use| c.get(&u.customer).map(|c| c.plan.min(MOST_PLAN) as u8);
+                let news = uses.into_iter().filter_map(|u| {
+                    let plan = if plans { Some(u.plan) } else { own(&self.customers, &u) };
+                    self.on_use(from.0, m.born >= mine, Use { plan: plan?, ..u })
+                });
                 let news: Vec<News> = news.collect();
                 if !news.is_empty() {
                     self.post(from.0, Body::News(m.born, news), act);
@@ -1200,7 +1206,7 @@
         let known = backends.filter(|b| !b.health.is_empty());
         known.for_each(|b| b.health.resize(count, Health::default()));
         (self.s.classes, self.s.plans, self.s.rules) = (new.classes, new.plans, new.rules);
-        (self.s.limits, self.changed_at) = (new.limits, self.now);
+        (self.s.limits, self.s.words, self.changed_at) = (new.limits, new.words, self.now);
         // Pools that went are in no request that comes; what is out of them counts until it is back.
         let pools = usize::from(new.pools) + 1;
         self.pools.resize_with(pools.max(self.pools.len()), || Pool::new(PLACES));
--- a/crates/decision/src/gossip.rs
+++ b/crates/decision/src/gossip.rs
@@ -6,8 +6,8 @@
 const USE: u8 = 0;
 const NEWS: u8 = 1;
 /// The layout's number, told in each message: others are skipped.
-const VERSION: u8 = 0xA3;
-const HEAD: usize = 9;
+const VERSION: u8 = 0xA4;
+const HEAD: usize = 11;
 const SAMPLE_BYTES: usize = 4;
 const USE_BYTES: usize = 14;
 const NEWS_BYTES: usize = 12;
@@ -111,6 +111,8 @@
     pub born: u32,
     /// Counts the sender's messages to this receiver, wrapped round.
     pub seq: u16,
+    /// What the sender's places in the lists of classes and of plans mean, see [`Settings::words`](crate::Settings::words).
+    pub words: [u8; 2],
     /// How the sender's latest attempts went.
     pub samples: Vec<Sample>,
     /// What it carries.
@@ -197,6 +199,7 @@
             Body::News(_, news) => news.len().min(MOST_NEWS),
         };
         bytes.push(rows as u8);
+        bytes.extend_from_slice(&self.words);
         self.samples.iter().take(samples).for_each(|s| bytes.extend_from_slice(&s.pack()));
         match &self.body {
             Body::Uses(uses) => {
@@ -237,6 +240,7 @@
             return None;
         }
         let (born, seq, rows) = (word(2)?, half(bytes, 6), usize::from(bytes[8]));
+        let words = [bytes[9], bytes[10]];
         let body_at = HEAD + samples * SAMPLE_BYTES;
         let samples = bytes.get(HEAD..body_at)?.chunks_exact(SAMPLE_BYTES).map(Sample::unpack).collect();
         let (each, head) = match kind {
@@ -272,7 +276,7 @@
                     .collect(),
             ),
         };
-        Some(Message { born, seq, samples, body })
+        Some(Message { born, seq, words, samples, body })
     }
 }
 
@@ -305,7 +309,7 @@
                 let (bad, none) = (Fared::Failed, Fared::Silent);
                 let (bad, none) = (Sample { fared: bad, ..one }, Sample { fared: none, ..one });
                 let samples = [one, bad, none, one, bad, none][..count].to_vec();
-                let message = Message { born: 77, seq: 3, samples, body: body.clone() };
+                let message = Message { born: 77, seq: 3, words: [5, 250], samples, body: body.clone() };
                 let bytes = message.pack();
                 assert!(bytes.len() <= MOST);
                 assert_eq!(Message::unpack(&bytes), Some(message));
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -187,6 +187,9 @@
     pub post_paid: bool,
     /// How many pools of backends there are, up to [`MOST_POOLS`]; numbered from 1.
     pub pools: u8,
+    /// Digests of the names of the classes and of the plans at their places: gateways whose settings differ for a while do not
+    /// take a place for what it means elsewhere.
+    pub words: [u8; 2],
 }
 
 /// The state of a backend as listed.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -222,6 +222,9 @@
     }
 }
 
+/// The customers that are known.
+pub type Customers = BTreeMap<CustomerId, Customer>;
+
 /// How long answers of a class take: lately, and on calm servers.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Usual {
@@ -247,7 +250,7 @@
     pub(crate) woke: Micros,
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
-    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    pub(crate) customers: Customers,
     pub(crate) peers: BTreeMap<u16, Peer>,
     /// Peers with something in their outbox.
     pub(crate) due: BTreeSet<u16>,
@@ -367,7 +370,8 @@
         p.sent = p.sent.wrapping_add(1);
         p.next = now + self.period;
         self.tells -= 1.0;
-        let bytes = Message { born: incarnation(self.born), seq: p.sent, samples, body }.pack();
+        let (born, seq, words) = (incarnation(self.born), p.sent, self.s.words);
+        let bytes = Message { born, seq, words, samples, body }.pack();
         act.push(Action::Tell { to: Some(GatewayNo(to)), bytes });
     }
 }
--- a/crates/decision/tests/settings.rs
+++ b/crates/decision/tests/settings.rs
@@ -311,3 +311,47 @@
         assert!(postcard::from_bytes::<Gateway>(&bytes[..cut]).is_err(), "cut at {cut}");
     }
 }
+
+/// Guards against a peer whose lists have other places, as after a restart: what it tells of a place would be taken for another
+/// class's health here, and its use for that of another plan.
+#[test]
+fn a_peer_with_other_places_is_not_misread() {
+    let with = |me: u16, words: [u8; 2]| {
+        let mut s = settings();
+        (s.gateways, s.me, s.words) = (60, GatewayNo(me), words); // many: samples pass, one home decides
+        s
+    };
+    // What one that had errors tells its peers.
+    let told = |words: [u8; 2]| {
+        let mut rig = Rig::with(with(3, words), 4);
+        let mut told = Vec::new();
+        for n in 0..200u64 {
+            let (_, mut actions) = rig.ask_of(0, 1, n, 1.0, 2.0);
+            actions.extend(rig.pass(200_000)); // it may have waited for a home's word
+            for action in &actions {
+                if let Action::Send { id, backend, .. } = action {
+                    told.extend(rig.settle(*id, 0, *backend, Outcome::ConnectFailed));
+                }
+            }
+            told.extend(actions);
+        }
+        let to_home = |a| match a {
+            Action::Tell { to: Some(GatewayNo(0)), bytes } => Some(bytes),
+            _ => None,
+        };
+        told.into_iter().filter_map(to_home)
+    };
+    let heard = |words: [u8; 2]| {
+        let mut rig = Rig::with(with(0, [1, 1]), 4);
+        let messages: Vec<Vec<u8>> = told(words).collect();
+        assert!(messages.len() > 10, "{} messages", messages.len());
+        for bytes in messages {
+            rig.feed(Event::Peer { from: GatewayNo(3), bytes });
+        }
+        (rig.gateway.in_rotation(), rig.gateway.in_use()[1].customers)
+    };
+    let (alike, customers) = heard([1, 1]);
+    assert!(alike < 4 && customers > 0, "{alike} in rotation, {customers} customers: the test shows nothing");
+    assert_eq!(heard([2, 1]), (alike.max(4), customers), "another class's failures count");
+    assert_eq!(heard([1, 2]), (alike, 0), "another plan's use counts");
+}
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Callers;
 use crate::door::{Door, Proof};
+use crate::eviction::{Kind, Lines, Standing};
 use crate::ledger::End;
 use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
@@ -35,8 +36,9 @@
 const MOST_ERRORS: u32 = 8;
 /// How long before the latest connection one must have come to be closed for never having said anything.
 const FRESH: Micros = 10_000;
-/// How long a new connection may say nothing, and how long the rest of a command may take to come.
-const PATIENCE: Micros = 2_000_000;
+/// How long a new connection may say nothing, and how long the rest of a command may take to come: a client may take 2 s for
+/// a head, and a bad one has to be told within 3 s; it is looked at twice a second.
+const PATIENCE: Micros = 2_300_000;
 /// How long answers may lie unread until their client is taken for gone.
 const UNREAD: Micros = 15_000_000;
 /// How long a connection that was told why it is closed may take to read that, and how long while it still sends:
@@ -107,6 +109,9 @@
     /// In the list of those to be written to, and of those to be read again.
     dirty: bool,
     listed: bool,
+    /// Where it stands among those that may make room.
+    #[serde(skip)]
+    standing: Option<Standing>,
 }
 
 /// What of the connections passes to the next process, with the connections' own records.
@@ -158,6 +163,7 @@
             stalled,
             dirty,
             listed,
+            standing: None,
         }
     }
 }
@@ -168,6 +174,17 @@
         self.slots.is_empty() && self.out.is_empty() && self.buf.is_empty() && !self.closing && !self.surplus
     }
 
+    /// Where it stands, and since when; none where something is under way, or its end is.
+    fn stands(&self) -> Option<Standing> {
+        let nothing_owed = self.slots.is_empty() && self.out.is_empty() && !self.closing && !self.surplus;
+        let standing = match (self.buf.is_empty(), self.spoke()) {
+            (false, _) => (Kind::Half, self.begun),
+            (true, false) => (Kind::Silent, self.begun),
+            (true, true) => (Kind::Idle, self.since),
+        };
+        nothing_owed.then_some(standing)
+    }
+
     fn full(&self) -> bool {
         self.slots.len() >= MOST_WAITING || self.ready + self.out.len() - self.written >= MOST_UNREAD
     }
@@ -206,6 +223,10 @@
     }
 }
 
+fn standing(conns: &Slab<Client>, key: usize, serial: u64) -> Option<Standing> {
+    conns.get(key).filter(|c| c.serial == serial)?.standing
+}
+
 /// Whether there is a descriptor for one more connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
@@ -230,6 +251,8 @@
 pub struct Clients {
     listener: Option<Listener>,
     conns: Slab<Client>,
+    /// Those that may make room for others.
+    lines: Lines,
     serial: u64,
     next_id: u64,
     tokens: fn(usize) -> Token,
@@ -263,6 +286,7 @@
         Clients {
             listener: Some(listener),
             conns: Slab::new(),
+            lines: Lines::default(),
             serial: 0,
             next_id: 0,
             tokens,
@@ -325,6 +349,8 @@
             }
         });
         self.conns = conns.collect();
+        let keys: Vec<usize> = self.conns.iter().map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.stand(key));
         (self.serial, self.next_id, self.accepted_at) = (saved.serial, saved.next_id, saved.accepted_at);
         (self.dirty, self.again) = (saved.dirty, saved.again);
         (self.lingering, self.surplus, self.held) = (saved.lingering, saved.surplus, saved.held);
@@ -386,7 +412,8 @@
 
     fn add(&mut self, mut stream: Stream, registry: &Registry, now: Micros, surplus: bool) {
         let place = self.conns.vacant_entry();
-        let token = (self.tokens)(place.key());
+        let key = place.key();
+        let token = (self.tokens)(key);
         if registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_err() {
             return;
         }
@@ -415,7 +442,9 @@
             stalled: false,
             dirty: false,
             listed: false,
+            standing: None,
         });
+        self.stand(key);
     }
 
     /// Does what a connection is ready for; `closed` says that its end is near.
@@ -447,6 +476,18 @@
         if self.conns.contains(key) {
             self.read_some(key, now, closed);
             self.account(key);
+            self.stand(key);
+        }
+    }
+
+    /// Notes where a connection stands by now.
+    fn stand(&mut self, key: usize) {
+        let Some(c) = self.conns.get_mut(key) else { return };
+        let to = c.stands();
+        let from = std::mem::replace(&mut c.standing, to);
+        if from != to {
+            let (serial, conns) = (c.serial, &self.conns);
+            self.lines.moved((key, serial), from, to, |key, serial| standing(conns, key, serial));
         }
     }
 
@@ -738,6 +779,7 @@
                 self.read_later(key);
             }
             self.finish(key, now);
+            self.stand(key);
         }
     }
 
@@ -766,28 +808,37 @@
     /// Closes one of the connections that are idle behind an answer, the one that has been so for longest, if there
     /// are more of them than `most`. One that has something to say by now stays.
     pub fn close_spare(&mut self, most: usize) {
-        let idle = self.conns.iter().filter(|(_, c)| c.idle() && c.spoke());
-        let (count, oldest) = idle.fold((0, None), |(count, oldest), (key, c)| {
-            let this = (c.since, c.serial, key);
-            (count + 1, Some(oldest.map_or(this, |o: (Micros, u64, usize)| o.min(this))))
-        });
-        if let Some((since, _, key)) = oldest.filter(|_| count > most) {
-            self.close_if_silent(key, since);
+        if self.lines.count(Kind::Idle) > most {
+            if let Some((key, since)) = self.oldest(Kind::Idle) {
+                self.close_if_silent(key, since);
+            }
         }
     }
 
-    /// Closes the connection that has been idle for longest, to make room; false if none is idle.
+    fn oldest(&mut self, kind: Kind) -> Option<(usize, Micros)> {
+        let conns = &self.conns;
+        self.lines.oldest(kind, |key, serial| standing(conns, key, serial))
+    }
+
+    /// Closes a connection that nothing is owed to, to make room; false if there is none.
     pub fn close_oldest(&mut self) -> bool {
         loop {
-            let idle = self.conns.iter().filter(|(_, c)| c.idle());
-            // Those that never said anything go first, but for the latest: what they say may be a moment behind their
-            // connecting. Many fall idle at one clock: of these the oldest goes.
-            let fresh = |c: &Client| c.since + FRESH > self.accepted_at;
-            let oldest = idle.min_by_key(|(_, c)| (c.spoke() || fresh(c), c.since, c.serial));
-            let Some((key, since)) = oldest.map(|(key, c)| (key, c.since)) else {
-                return false;
-            };
-            self.close_if_silent(key, since);
+            // What the latest say may be a moment behind their connecting: these go last.
+            let latest = self.accepted_at;
+            let fresh = |since: Micros| since + FRESH > latest;
+            let silent = self.oldest(Kind::Silent).filter(|(_, since)| !fresh(*since));
+            let others = [Kind::Half, Kind::Idle, Kind::Silent];
+            let next = silent.or_else(|| others.into_iter().find_map(|kind| self.oldest(kind)));
+            let Some((key, since)) = next else { return false };
+            if !self.conns[key].buf.is_empty() {
+                // What it has said since may be all of its command.
+                self.read(key, since, true);
+                if self.conns.get(key).is_some_and(|c| matches!(c.standing, Some((Kind::Half, _)))) {
+                    self.remove(key);
+                }
+            } else {
+                self.close_if_silent(key, since);
+            }
             if !self.conns.contains(key) {
                 return true;
             }
@@ -802,6 +853,9 @@
 
     /// Counts a connection no longer.
     fn gone<S>(&mut self, c: &Client<S>) {
+        if let Some((kind, _)) = c.standing {
+            self.lines.left(kind);
+        }
         self.lingering -= usize::from(c.linger_until.is_some());
         self.surplus -= usize::from(c.surplus);
         self.held -= c.counted;
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -9,6 +9,7 @@
 mod counter;
 mod discovery;
 mod door;
+mod eviction;
 mod ingress;
 mod ledger;
 mod logging;
--- a/crates/ingress/tests/upgrade.rs
+++ b/crates/ingress/tests/upgrade.rs
@@ -269,7 +269,7 @@
     let mut process = platform.start();
     let mut client = Client::connect(platform.at);
     let hello = |layout: u32| [&b"wrenhnd1"[..], &layout.to_be_bytes()].concat();
-    let good = hello(2);
+    let good = hello(3);
     for (n, (says, reads)) in [
         (&b""[..], 0),
         (b"wren", 0),
