--- a/crates/ingress/tests/upgrade.rs
+++ b/crates/ingress/tests/upgrade.rs
@@ -8,10 +8,10 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenfork_fleet::small::*;
 
 /// The platform: the clients' socket, the folder that all processes share, and the configuration.
@@ -97,6 +97,40 @@
     }
 }
 
+/// Looks at two processes together, for the most that they hold at one moment.
+struct Sampler {
+    second: Arc<AtomicU32>,
+    stop: Arc<AtomicBool>,
+    looking: thread::JoinHandle<(usize, usize)>,
+}
+
+impl Sampler {
+    fn start(first: u32) -> Sampler {
+        let (second, stop) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicBool::new(false)));
+        let (other, end) = (second.clone(), stop.clone());
+        let looking = thread::spawn(move || {
+            let mut most = (0, 0);
+            while !end.load(Ordering::SeqCst) {
+                let now = [first, other.load(Ordering::SeqCst)].map(|id| {
+                    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+                    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+                    let held = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+                    (line.trim().trim_end_matches(" kB").parse::<usize>().unwrap(), held)
+                });
+                most = (most.0.max(now[0].0 + now[1].0), most.1.max(now[0].1 + now[1].1));
+            }
+            most
+        });
+        Sampler { second, stop, looking }
+    }
+
+    /// The most KiB resident, and the most descriptors.
+    fn stop(self) -> (usize, usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.looking.join().unwrap()
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -114,10 +148,12 @@
     let mut first = platform.start();
     let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
     let served_ids = Arc::new(Mutex::new(HashSet::new()));
+    let answered_at: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let clients: Vec<_> = (0..12)
         .map(|c| {
             let (stop, asked, served_ids, at) =
                 (stop.clone(), asked.clone(), served_ids.clone(), platform.at);
+            let answered_at = answered_at.clone();
             thread::spawn(move || {
                 let mut client = Client::connect(at);
                 for n in 0.. {
@@ -132,6 +168,7 @@
                     for id in ids {
                         let answer = client.answer();
                         asked.fetch_add(1, Ordering::SeqCst);
+                        answered_at.lock().unwrap().push(Instant::now());
                         if answer == format!("value of {id}") {
                             served_ids.lock().unwrap().insert(id);
                         } else {
@@ -143,8 +180,12 @@
         })
         .collect();
     until("there is load", || asked.load(Ordering::SeqCst) > 200);
-    let mut second = platform.start();
+    let seen = Sampler::start(first.child.id());
+    let mut second = platform.run("3<&0");
+    seen.second.store(second.child.id(), Ordering::SeqCst);
+    until("it says yes", || second.ask("readyz").starts_with("+OK"));
     assert!(first.ended().contains("handed over"));
+    let (memory, descriptors) = seen.stop();
     let before = asked.load(Ordering::SeqCst);
     until("it serves", || asked.load(Ordering::SeqCst) > before + 200);
     let third = platform.start();
@@ -153,6 +194,11 @@
     until("it serves", || asked.load(Ordering::SeqCst) > before + 200);
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|c| c.join().unwrap());
+    // For the page of measurements (--nocapture); whoever counts on a time fails on a busy machine.
+    let at = answered_at.lock().unwrap();
+    let pause = at.windows(2).map(|w| w[1].saturating_duration_since(w[0])).max().unwrap();
+    println!("both processes: {memory} KiB resident, {descriptors} descriptors; longest pause {pause:?}");
+    assert!(descriptors < 1024 && memory < 192 * 1024);
     // What backends have had: each unsafe request once, and each that was served.
     let mut had: HashMap<String, usize> = HashMap::new();
     for backend in &backends {
