Bodies of up to 4 MiB are read once they have the memory that they take

Bodies over 64 KiB were refused from the head.

Change: resp::command takes a longer body of a CALL.POST; clients.rs has its connection wait, unread, until the memory that its head announces is free beside the open requests, in the order of coming. The body is kept once (Arc) and written from there by each attempt, so that what its class allows to repeat is repeated whole.

Twelve bodies of 4 MiB at once under 24 MB (long.rs), half a body across an upgrade (upgrade.rs).

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -12,6 +12,7 @@
 use wrenfork_config::settings::note_field;
 use wrenfork_decision::{Availability, BackendId, Micros, Outcome, Report, RequestId};
 use wrenfork_dial::{Address, Book, Fared, Next, Race};
+use wrenfork_wire::call::Body;
 use wrenfork_wire::long::{Long, Whole};
 use wrenfork_wire::resp::{self, Element, Kind, Reply};
 
@@ -136,6 +137,8 @@
     /// When its answer began to come.
     heard: Micros,
     out: Vec<u8>,
+    /// A long body that is written behind that.
+    body: Option<Body>,
     written: usize,
     buf: Vec<u8>,
     /// Its answer is too long to be kept whole and passes on as it comes.
@@ -176,7 +179,7 @@
     /// With its stream again.
     fn with(self, stream: Stream) -> Conn {
         let Conn { stream: (), serial, backend, place, connected, race, work, since, idled, .. } = self;
-        let Conn { heard, out, written, buf, long, paused, .. } = self;
+        let Conn { heard, out, body, written, buf, long, paused, .. } = self;
         Conn {
             stream,
             serial,
@@ -189,6 +192,7 @@
             idled,
             heard,
             out,
+            body,
             written,
             buf,
             long,
@@ -200,7 +204,7 @@
 impl<S> Conn<S> {
     /// Whether the backend may have begun: the command's last byte is written.
     fn sent(&self) -> bool {
-        self.written == self.out.len()
+        self.written == self.out.len() + self.body.as_ref().map_or(0, |(_, part)| part.len())
     }
 
     /// What the end of the connection means for the work on it.
@@ -444,7 +448,7 @@
         backend: BackendId,
         work: Work,
         now: Micros,
-        fill: impl FnOnce(&mut Vec<u8>),
+        fill: impl FnOnce(&mut Vec<u8>) -> Option<Body>,
     ) -> Option<(Link, bool)> {
         let Some(key) = self.connection(registry, backend, now) else {
             let (outcome, report, value) = (Outcome::ConnectFailed, None, Vec::new());
@@ -454,7 +458,7 @@
         let conn = &mut self.conns[key];
         (conn.work, conn.since, conn.written) = (Some(work), now, 0);
         conn.out.clear();
-        fill(&mut conn.out);
+        conn.body = fill(&mut conn.out);
         let link = Link { key, serial: conn.serial };
         let conn = &self.conns[key];
         if conn.race.is_none() {
@@ -515,6 +519,7 @@
             idled: None,
             heard: 0,
             out: Vec::new(),
+            body: None,
             written: 0,
             buf: Vec::new(),
             long: None,
@@ -693,8 +698,17 @@
 
     fn write(&mut self, key: usize) {
         let conn = &mut self.conns[key];
-        while conn.written < conn.out.len() {
-            match conn.stream.write(&conn.out[conn.written..]) {
+        while !conn.sent() {
+            // Borrowed from the record, and written to the stream beside it.
+            let bytes = std::mem::take(&mut conn.out);
+            let body = conn.body.take();
+            let rest = match (&body, conn.written.checked_sub(bytes.len())) {
+                (Some((bytes, part)), Some(of)) => &bytes[part.start + of..part.end],
+                _ => &bytes[conn.written..],
+            };
+            let wrote = conn.stream.write(rest);
+            (conn.out, conn.body) = (bytes, body);
+            match wrote {
                 Ok(n) => {
                     conn.written += n;
                     conn.connected = true;
@@ -909,6 +923,7 @@
         }
         (conn.work, conn.since) = (None, now);
         conn.buf.clear();
+        conn.body = None;
         conn.buf.shrink_to(CHUNK);
         conn.out.shrink_to(CHUNK);
         pool.idle.push(key);
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -39,6 +39,8 @@
 /// How long a new connection may say nothing, and how long the rest of a command may take to come: a client may take 2 s for
 /// a head, and a bad one has to be told within 3 s; it is looked at twice a second.
 const PATIENCE: Micros = 2_300_000;
+/// How long a long body may take to come from its grant on: others wait for the memory.
+const BODY_TIME: Micros = 15_000_000;
 /// How long answers may lie unread until their client is taken for gone.
 const UNREAD: Micros = 15_000_000;
 /// How long a connection that was told why it is closed may take to read that, and how long while it still sends:
@@ -109,6 +111,11 @@
     /// In the list of those to be written to, and of those to be read again.
     dirty: bool,
     listed: bool,
+    /// The bytes of memory that a long body has been granted, until it is whole, and since when; it is read only with that.
+    granted: usize,
+    granted_at: Micros,
+    /// It waits for such a grant.
+    waits: bool,
     /// Where it stands among those that may make room.
     #[serde(skip)]
     standing: Option<Standing>,
@@ -142,6 +149,7 @@
         let Client {
             begun, proof, errors, closing, linger_until, surplus, shut, stalled, dirty, listed, ..
         } = self;
+        let Client { granted, granted_at, waits, .. } = self;
         Client {
             stream,
             serial,
@@ -163,6 +171,9 @@
             stalled,
             dirty,
             listed,
+            granted,
+            granted_at,
+            waits,
             standing: None,
         }
     }
@@ -197,7 +208,8 @@
     }
 
     fn memory(&self) -> usize {
-        self.buf.capacity() + self.ready + self.out.capacity()
+        // What was granted counts with the open requests, which it will be one of.
+        self.buf.capacity().saturating_sub(self.granted) + self.ready + self.out.capacity()
     }
 
     /// Whether a whole command has ever come.
@@ -278,6 +290,9 @@
     pub incoming: VecDeque<Incoming>,
     /// Requests whose answers may pass on again.
     pub hungry: Vec<RequestId>,
+    /// Bytes granted to long bodies that are coming, and those that wait for a grant, the first one first.
+    granted: usize,
+    queue: VecDeque<(usize, u64)>,
 }
 
 impl Clients {
@@ -304,6 +319,8 @@
             memory,
             incoming: VecDeque::new(),
             hungry: Vec::new(),
+            granted: 0,
+            queue: VecDeque::new(),
         }
     }
 
@@ -354,6 +371,10 @@
         (self.serial, self.next_id, self.accepted_at) = (saved.serial, saved.next_id, saved.accepted_at);
         (self.dirty, self.again) = (saved.dirty, saved.again);
         (self.lingering, self.surplus, self.held) = (saved.lingering, saved.surplus, saved.held);
+        let granted = self.conns.iter().map(|(_, c)| c.granted).chain(lost.iter().map(|c| c.granted));
+        self.granted = granted.sum();
+        let waits = self.conns.iter().filter(|(_, c)| c.waits);
+        self.queue = waits.map(|(key, c)| (key, c.serial)).collect();
         lost.into_iter().for_each(|c| self.gone(&c));
         let conns = &self.conns;
         self.dirty.retain(|key| conns.contains(*key));
@@ -442,6 +463,9 @@
             stalled: false,
             dirty: false,
             listed: false,
+            granted: 0,
+            granted_at: 0,
+            waits: false,
             standing: None,
         });
         self.stand(key);
@@ -512,7 +536,8 @@
                     }
                 }
                 Ok(n) => {
-                    if c.buf.is_empty() && c.spoke() {
+                    // A long body may take its time as long as it comes.
+                    if (c.buf.is_empty() && c.spoke()) || c.granted > 0 {
                         c.begun = now.max(c.begun);
                     }
                     c.buf.extend_from_slice(&self.chunk[..n]);
@@ -561,7 +586,7 @@
         let mut text = Vec::new();
         resp::put_error(&mut text, why);
         c.answer_now(&text);
-        (c.closing, c.buf) = (true, Vec::new());
+        (c.closing, c.buf, c.waits) = (true, Vec::new(), false);
     }
 
     fn read_later(&mut self, key: usize) {
@@ -570,8 +595,53 @@
         }
     }
 
+    /// Has a long body wait until it has the memory that it takes; false if it is not to be read now.
+    fn may_read_on(&mut self, key: usize) -> bool {
+        let c = &mut self.conns[key];
+        if c.granted > 0 || c.buf.is_empty() || c.closing {
+            return true;
+        }
+        let Some(whole) = resp::long_command(&c.buf, &mut self.args) else { return true };
+        if whole > self.memory {
+            Self::break_off(c, "the body is longer than there is memory for");
+            if !std::mem::replace(&mut c.dirty, true) {
+                self.dirty.push(key);
+            }
+            return true;
+        }
+        if !std::mem::replace(&mut c.waits, true) {
+            self.queue.push_back((key, c.serial));
+        }
+        false
+    }
+
+    /// Grants memory to long bodies in the order in which they came, as far as it goes beside the open requests' `held`.
+    pub fn grant(&mut self, held: usize, now: Micros) {
+        while let Some((key, serial)) = self.queue.front().copied() {
+            let c = self.conns.get_mut(key).filter(|c| c.serial == serial && c.waits);
+            let whole = c.as_ref().and_then(|c| resp::long_command(&c.buf, &mut self.args));
+            if let (Some(c), Some(whole)) = (c, whole) {
+                if held + self.granted + whole > self.memory {
+                    return;
+                }
+                self.granted += whole;
+                (c.granted, c.granted_at, c.begun) = (whole, now, now.max(c.begun));
+                (c.waits, c.stalled) = (false, false);
+                c.buf.reserve_exact(whole.saturating_sub(c.buf.len()));
+                c.recount(&mut self.held);
+                self.read_later(key);
+            }
+            self.queue.pop_front();
+        }
+    }
+
     /// Takes the whole commands out of what a connection has said; false if it is not to be read now.
     fn take_commands(&mut self, key: usize, now: Micros) -> bool {
+        let taken = self.take_whole(key, now);
+        taken && self.may_read_on(key)
+    }
+
+    fn take_whole(&mut self, key: usize, now: Micros) -> bool {
         let c = &mut self.conns[key];
         let mut at = 0;
         while !c.closing && !c.full() && at < c.buf.len() {
@@ -579,10 +649,25 @@
             match resp::command(&c.buf[at..], &mut self.args) {
                 Ok(None) => break,
                 Ok(Some(n)) => {
-                    let part = &c.buf[at..at + n];
-                    at += n;
+                    // One with a long body is kept as it came; what stands behind it is moved instead.
+                    let long = self.args.get(resp::BODY).is_some_and(|body| body.len() > resp::MOST_VALUE);
+                    let long = long.then(|| {
+                        let mut whole = c.buf.split_off(at);
+                        c.buf.extend_from_slice(&whole[n..]);
+                        whole.truncate(n);
+                        self.granted -= std::mem::take(&mut c.granted);
+                        whole
+                    });
+                    let (part, read) = match long {
+                        Some(whole) => (&b"CALL.POST"[..], Call::read_long(whole, &self.args, &self.words)),
+                        None => {
+                            let part = &c.buf[at..at + n];
+                            at += n;
+                            (part, Call::read(part, &self.args, &self.words))
+                        }
+                    };
                     (c.since, c.begun) = (now.max(c.since), now.max(c.begun));
-                    match Call::read(part, &self.args, &self.words) {
+                    match read {
                         Some(Ok(call)) if c.surplus => {
                             self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
                             c.answer_now(b"-BUSY\r\n");
@@ -614,12 +699,17 @@
                             c.answer_now(&text);
                             c.strike();
                         }
-                        None if part[self.args[0].clone()].eq_ignore_ascii_case(b"PING") => {
+                        None if part
+                            .get(self.args[0].clone())
+                            .is_some_and(|verb| verb.eq_ignore_ascii_case(b"PING")) =>
+                        {
                             c.answer_now(b"+PONG\r\n");
                             c.errors = 0;
                         }
                         None if self.door.is_some()
-                            && part[self.args[0].clone()].eq_ignore_ascii_case(b"AUTH")
+                            && part
+                                .get(self.args[0].clone())
+                                .is_some_and(|v| v.eq_ignore_ascii_case(b"AUTH"))
                             && self.args.len() == 2 =>
                         {
                             let token = &part[self.args[1].clone()];
@@ -774,7 +864,7 @@
                 }
             }
             // Commands that were held back by a full line of answers are taken up again.
-            if c.stalled && !c.full() {
+            if c.stalled && !c.full() && !c.waits {
                 c.stalled = false;
                 self.read_later(key);
             }
@@ -853,6 +943,7 @@
 
     /// Counts a connection no longer.
     fn gone<S>(&mut self, c: &Client<S>) {
+        self.granted -= c.granted;
         if let Some((kind, _)) = c.standing {
             self.lines.left(kind);
         }
@@ -868,7 +959,9 @@
 
     /// Ends what says nothing, or half a command, for too long: it holds a descriptor and memory.
     fn end_silent(&mut self, now: Micros) {
-        let late = |c: &Client| now > c.begun + PATIENCE && !c.closing && !c.surplus && !c.stalled;
+        let slow = |c: &Client| c.granted > 0 && now > c.granted_at + BODY_TIME;
+        let late =
+            |c: &Client| (now > c.begun + PATIENCE || slow(c)) && !c.closing && !c.surplus && !c.stalled;
         let silent = |c: &Client| if c.buf.is_empty() { !c.spoke() } else { !c.full() };
         let over = self.conns.iter().filter(|(_, c)| late(c) && silent(c));
         let over: Vec<usize> = over.map(|(key, _)| key).collect();
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -362,6 +362,7 @@
         self.fire();
         self.clients.flush(self.now);
         self.feed();
+        self.clients.grant(self.requests.held(), self.now);
         self.take_incoming();
         // Last, so that the figures hold all that this turn brought.
         if std::mem::take(&mut self.calls_more) {
@@ -966,7 +967,10 @@
         // a tick would take no time at all.
         let began = self.clock.now();
         open.attempts[number].began = began;
-        let begun = self.backends.begin(registry, backend, work, began, |out| open.call.write(wait, out));
+        let begun = self.backends.begin(registry, backend, work, began, |out| {
+            open.call.write(wait, out);
+            open.call.body()
+        });
         if let Some((link, connecting)) = begun {
             open.attempts[number].link = Some(link);
             if until < open.deadline {
@@ -1002,6 +1006,7 @@
             resp::put_array(out, 2);
             resp::put_bulk(out, &[b"INFO"]);
             resp::put_bulk(out, &[b"load"]);
+            None
         };
         let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, self.now, fill);
         if let Some((link, _)) = begun {
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -96,6 +96,11 @@
         self.memory = memory;
     }
 
+    /// The bytes that they hold.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
     /// At most so many from now on.
     pub fn allow(&mut self, most: usize) {
         self.most = most;
--- a/crates/ingress/src/takeover.rs
+++ b/crates/ingress/src/takeover.rs
@@ -21,7 +21,7 @@
 
 /// The number of the state's form. It changes with every change of what is kept in it, here or in the module: a process of
 /// another form begins anew rather than read it wrongly.
-const LAYOUT: u32 = 3;
+const LAYOUT: u32 = 4;
 /// The part of the memory that a state may take on its way, as it stands there beside what it is read into.
 const MEMORY_SHARE: usize = 4;
 
--- a/crates/ingress/tests/long.rs
+++ b/crates/ingress/tests/long.rs
@@ -194,3 +194,105 @@
         assert!(client.ask(&call("refer", &id, 3000)) == value(&id, 500_000), "cut at {at}");
     }
 }
+
+// ---- Bodies ----
+
+fn post(class: &str, id: &str, body: &str) -> Vec<u8> {
+    static NEXT: AtomicUsize = AtomicUsize::new(50_000);
+    let customer = format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst));
+    let options = format!("c={class},t=starter,d=5000,k=00ff,units=1,spread=1,first=0");
+    command(&["CALL.POST", &customer, id, &options, body])
+}
+
+/// What a backend was given as the body of a request.
+fn body_at(backend: &Backend, id: &str) -> Option<String> {
+    let seen = backend.seen.commands.lock().unwrap();
+    seen.iter().find(|c| c[2] == id).map(|c| c[4].clone())
+}
+
+/// Guards against bodies that fill the memory: a dozen of 4 MiB at once, in pieces, where there is room for one or two.
+#[test]
+fn long_bodies_wait_for_the_memory_that_they_take_and_come_whole() {
+    let backend = Backend::start(serve);
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let clients: Vec<_> = (0..12)
+        .map(|n| {
+            let mut client = ingress.client();
+            thread::spawn(move || {
+                let id = format!("b{n}");
+                let asked = post("refer", &id, &value(&id, LONGEST - n));
+                // The head in pieces, and the body at once or in halves; a small one waits behind it.
+                let cut = 3 + n * 7;
+                client.send(&asked[..cut]);
+                client.send(&asked[cut..asked.len() / 2]);
+                thread::sleep(Duration::from_millis(10 * (n as u64 % 3)));
+                client.send(&asked[asked.len() / 2..]);
+                client.send(&call("refer", &format!("s{n}"), 5000));
+                [client.answer(), client.answer()]
+            })
+        })
+        .collect();
+    for (n, client) in clients.into_iter().enumerate() {
+        assert_eq!(client.join().unwrap(), [format!("value of b{n}"), format!("value of s{n}")]);
+        let id = format!("b{n}");
+        assert!(body_at(&backend, &id) == Some(value(&id, LONGEST - n)), "{id} came otherwise");
+    }
+    let peak = peak(&ingress);
+    assert!(peak < 24 * 1024, "{peak} KiB resident");
+}
+
+/// Guards against a body that is repeated in part, or not at all where its class allows it; lengths round the border.
+#[test]
+fn a_long_body_is_repeated_whole() {
+    let bad = Backend::start(|_| Act::Say(b"-BUSY\r\n".to_vec()));
+    let good = Backend::start(serve);
+    let ingress = setup(&[&bad, &good]).start();
+    let mut client = ingress.client();
+    for (n, length) in
+        [65_535, 65_536, 65_537, 66_000, 70_000, 73_728, 73_729, 200_000, LONGEST].into_iter().enumerate()
+    {
+        let id = format!("v{n}");
+        assert_eq!(
+            client.ask(&post("save", &id, &value(&id, length))),
+            format!("value of {id}"),
+            "{length} bytes"
+        );
+        assert!(body_at(&good, &id) == Some(value(&id, length)), "{length} bytes came otherwise");
+    }
+    assert!(bad.count() > 0, "nothing was repeated: the test shows nothing");
+}
+
+/// Guards against a body that nobody has room for, or that never comes, and holds up the others for ever.
+#[test]
+fn a_body_too_long_or_too_late_is_told_so() {
+    let backend = Backend::start(serve);
+    let mut small = setup(&[&backend]);
+    small.memory_mb = 16; // a quarter of it is less than the longest and its head
+    let ingress = small.start();
+    let mut client = ingress.client();
+    let head = |length: usize| {
+        let whole = post("refer", "x1", &"x".repeat(70_000));
+        let at = whole.windows(8).position(|w| w == b"$70000\r\n").unwrap();
+        [&whole[..at], format!("${length}\r\n").as_bytes()].concat()
+    };
+    client.send(&head(LONGEST + 1));
+    assert!(client.answer().contains("over the limit"));
+    let mut client = ingress.client();
+    client.send(&head(LONGEST));
+    assert!(client.answer().contains("longer than there is memory for"));
+    // One that stops half way keeps its grant for as long as a head may take; the next one is served then.
+    let (mut stopped, mut next) = (ingress.client(), ingress.client());
+    stopped.send(&head(3 << 20));
+    thread::sleep(Duration::from_millis(50));
+    next.send(&post("refer", "n1", &value("n1", 3 << 20)));
+    assert_eq!(next.answer(), "value of n1");
+    assert!(stopped.answer().contains("did not come in time"));
+    assert_eq!(backend.count(), 1);
+    // What is turned down is read to its end, and what comes behind it is served.
+    let mut client = ingress.client();
+    client.send(&[post("nothing", "x2", &value("x2", 100_000)), call("refer", "r2", 900)].concat());
+    assert!(client.answer().contains("the class is unknown"));
+    assert_eq!(client.answer(), "value of r2");
+}
--- a/crates/ingress/tests/upgrade.rs
+++ b/crates/ingress/tests/upgrade.rs
@@ -268,8 +268,16 @@
         client.send(&[call("refer", &format!("l{n}"), 2500), call("refer", &format!("m{n}"), 2500)].concat());
         until("it has begun", || client.0.peek(&mut [0]).is_ok_and(|n| n > 0));
     }
+    // And a long body of which half has come.
+    let (mut sender, body) = (Client::connect(platform.at), "y".repeat(1 << 20));
+    let options = "c=refer,t=starter,d=2500,units=1,spread=1,first=0";
+    let asked = command(&["CALL.POST", "00000000000fffff", "n0", options, &body]);
+    sender.send(&asked[..600_000]);
     let second = platform.start();
     first.ended();
+    sender.send(&asked[600_000..]);
+    assert!(sender.answer() == value("n0"));
+    assert!(backend.seen.commands.lock().unwrap().iter().any(|c| c[2] == "n0" && c[4] == body));
     for (n, client) in clients.iter_mut().enumerate() {
         for id in [format!("l{n}"), format!("m{n}")] {
             assert!(client.answer() == value(&id), "{id} is not what its backend gave");
@@ -315,7 +323,7 @@
     let mut process = platform.start();
     let mut client = Client::connect(platform.at);
     let hello = |layout: u32| [&b"wrenhnd1"[..], &layout.to_be_bytes()].concat();
-    let good = hello(3);
+    let good = hello(4);
     for (n, (says, reads)) in [
         (&b""[..], 0),
         (b"wren", 0),
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::ops::Range;
+use std::sync::Arc;
 use wrenfork_decision::{CustomerId, Micros, Repeat, Request};
 
 /// The longest that a client may say it waits, in milliseconds.
@@ -67,8 +68,13 @@
     before: usize,
     after: usize,
     token: Option<Vec<u8>>,
+    /// A long body, as it came: kept once, whatever attempts are written from it.
+    body: Option<Body>,
 }
 
+/// A body too long to be copied: the command as it came, and where the body's string stands in it.
+pub type Body = (Arc<Vec<u8>>, Range<usize>);
+
 /// Options without the token among them, which goes to no backend, and that token.
 type Shown = (Vec<u8>, Vec<u8>);
 
@@ -208,7 +214,8 @@
             first: first as f64,
             ..Request::default()
         };
-        let mut bytes = Vec::with_capacity(96 + options.len() + args.get(4).map_or(0, |b| b.len() + 16));
+        let body = args.get(4).map_or(0, |b| b.len()).min(resp::MOST_VALUE);
+        let mut bytes = Vec::with_capacity(112 + options.len() + body);
         resp::put_array(&mut bytes, args.len());
         args[..3].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
         let head = bytes.len();
@@ -217,8 +224,9 @@
         let before = bytes.len();
         bytes.extend_from_slice(&options[place.end..]);
         let after = bytes.len();
-        args[4..].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
-        Ok(Call { request, wait, id, bytes, head, before, after, token })
+        let kept = args[4..].iter().filter(|a| a.len() <= resp::MOST_VALUE);
+        kept.for_each(|a| resp::put_bulk(&mut bytes, &[a]));
+        Ok(Call { request, wait, id, bytes, head, before, after, token, body: None })
     }
 
     /// The token that came with it; it is kept no longer.
@@ -226,6 +234,25 @@
         self.token.take()
     }
 
+    /// Reads a whole command with a long body, which is kept as it came.
+    pub fn read_long(
+        buf: Vec<u8>,
+        args: &[Range<usize>],
+        words: &Vocabulary,
+    ) -> Option<Result<Call, String>> {
+        let mut read = Call::read(&buf, args, words);
+        if let (Some(Ok(call)), Some(before)) = (&mut read, args.get(args.len().wrapping_sub(2))) {
+            let string = before.end + 2..buf.len();
+            call.body = Some((Arc::new(buf), string));
+        }
+        read
+    }
+
+    /// Its body, where that is not among the bytes that [`Call::write`] appends: it goes right behind them.
+    pub fn body(&self) -> Option<Body> {
+        self.body.clone()
+    }
+
     /// The id that the client gave it.
     pub fn id(&self) -> &[u8] {
         &self.bytes[self.id.clone()]
@@ -242,7 +269,8 @@
 
     /// What it takes in memory, roughly.
     pub fn size(&self) -> usize {
-        self.bytes.capacity() + std::mem::size_of::<Call>()
+        let body = self.body.as_ref().map_or(0, |b| b.0.capacity());
+        self.bytes.capacity() + body + std::mem::size_of::<Call>()
     }
 }
 
--- a/crates/wire/src/long.rs
+++ b/crates/wire/src/long.rs
@@ -1,11 +1,9 @@
 //! An answer whose value is too long to be kept whole: its bytes pass on as they come, and the last of them only once all that
 //! belongs to the answer has come and is sound. Bytes in, bytes out: the same whatever pieces they come in.
 
-use crate::resp::{self, Element, Malformed};
+use crate::resp::{self, Element, Malformed, MOST_LONG};
 use serde::{Deserialize, Serialize};
 
-/// The most bytes of a value that passes on like this.
-pub const MOST_LONG: usize = 4 << 20;
 /// The most bytes that may come behind the value: the figures on use and the load report.
 const MOST_REST: usize = 4 * 1024;
 /// The end of a bulk string.
--- a/crates/wire/src/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -10,6 +10,11 @@
 
 /// The most bytes that a value may have.
 pub const MOST_VALUE: usize = 64 * 1024;
+/// The most bytes of a value that is not kept beside others of its size: an answer passes on as it comes, a body has the memory
+/// it takes granted before it is read.
+pub const MOST_LONG: usize = 4 << 20;
+/// Which argument of a CALL.POST is its body.
+pub const BODY: usize = 4;
 /// The most arguments of a command and elements of an answer.
 const MOST_ITEMS: usize = 8;
 /// The most bytes of all arguments of a command, or elements of an answer, together.
@@ -102,8 +107,21 @@
     }
 }
 
-/// A command, an array of bulk strings. Fills in where its arguments are and returns its length.
+/// A command, an array of bulk strings. Fills in where its arguments are and returns its length. The body of a CALL.POST may
+/// be as long as [`MOST_LONG`]; what else there is has [`MOST_VALUE`] bytes at most.
 pub fn command(buf: &[u8], args: &mut Vec<Range<usize>>) -> Step<usize> {
+    arguments(buf, args, &mut 0)
+}
+
+/// The whole length of a command that has not come whole and whose body is longer than [`MOST_VALUE`]; none of others.
+pub fn long_command(buf: &[u8], args: &mut Vec<Range<usize>>) -> Option<usize> {
+    let mut whole = 0;
+    let found = arguments(buf, args, &mut whole);
+    (found == Ok(None) && whole > 0).then_some(whole)
+}
+
+/// Tells in `whole` the length that a command with a long body will have, once that is announced.
+fn arguments(buf: &[u8], args: &mut Vec<Range<usize>>, whole: &mut usize) -> Step<usize> {
     args.clear();
     match buf.first() {
         None => return Ok(None),
@@ -119,11 +137,16 @@
             Some(b'$') => {}
             Some(_) => return Err(Malformed("an argument is no bulk string")),
         }
-        let Some((n, start)) = head(buf, at, MOST_VALUE.min(left))? else { return Ok(None) };
+        let body = args.len() == BODY && count == BODY + 1 && buf[args[0].clone()] == *b"CALL.POST";
+        let most = if body { MOST_LONG } else { MOST_VALUE.min(left) };
+        let Some((n, start)) = head(buf, at, most)? else { return Ok(None) };
         let Some(n) = n else { return Err(Malformed("an argument is null")) };
+        if n > MOST_VALUE {
+            *whole = start + n + 2;
+        }
         let Some(end) = bulk_end(buf, start, n)? else { return Ok(None) };
         args.push(start..start + n);
-        left -= n;
+        left -= if body { 0 } else { n };
         at = end;
     }
     Ok(Some(at))
