--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1200,6 +1200,15 @@
             c.fill(self.now, &self.s.plans[c.plan]);
             c.carry(&self.s.plans[c.plan], &new.plans[c.plan]);
         }
+        // A name that comes back with another effect is another class: what was learned of the old one is not its.
+        let known = self.s.classes.iter().zip(&new.classes).enumerate();
+        for (k, (_, c)) in known.filter(|(_, (was, is))| was.repeat != is.repeat) {
+            self.usual[k] = Usual::first(c, self.now);
+            self.backends
+                .values_mut()
+                .filter_map(|b| b.health.get_mut(k))
+                .for_each(|h| *h = Health::default());
+        }
         let more = new.classes.iter().skip(self.usual.len()).map(|c| Usual::first(c, self.now));
         self.usual.extend(more);
         let (count, backends) = (new.classes.len(), self.backends.values_mut());
--- a/crates/decision/tests/settings.rs
+++ b/crates/decision/tests/settings.rs
@@ -355,3 +355,23 @@
     assert_eq!(heard([2, 1]), (alike.max(4), customers), "another class's failures count");
     assert_eq!(heard([1, 2]), (alike, 0), "another plan's use counts");
 }
+
+/// Guards against a class that comes back under its name with another effect and rests backends for what the old one met there.
+#[test]
+fn a_name_with_another_effect_is_another_class() {
+    for (effect, rested) in [(Repeat::Safe, true), (Repeat::Once, false)] {
+        let mut rig = Rig::with(settings(), 2);
+        for n in 0..12 {
+            let (id, actions) = rig.ask(0, 0, n, 1.0);
+            let Some(first) = sends(&actions).first().copied() else { continue };
+            let mut again = Some((0, first));
+            while let Some((attempt, backend)) = again {
+                let actions = rig.settle(id, attempt, backend, Outcome::Error);
+                again = sends(&actions).first().map(|b| (attempt + 1, *b));
+            }
+        }
+        assert!(rig.gateway.in_rotation() < 2, "nothing rests: the test shows nothing");
+        rig.feed(changed(&settings(), |s| s.classes[0].repeat = effect));
+        assert_eq!(rig.gateway.in_rotation() < 2, rested, "{effect:?}");
+    }
+}
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -567,7 +567,8 @@
         let Some(c) = self.conns.get_mut(key) else { return };
         c.recount(&mut self.held);
         while self.held > self.memory {
-            let most = self.conns.iter_mut().max_by_key(|(_, c)| (c.buf.capacity(), c.counted));
+            let half_said = |c: &Client| c.buf.capacity().saturating_sub(c.granted);
+            let most = self.conns.iter_mut().max_by_key(|(_, c)| (half_said(c), c.counted));
             let Some((key, c)) = most else { return };
             if c.buf.is_empty() {
                 self.remove(key);
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -103,6 +103,8 @@
     next: Option<PathBuf>,
     offer: Option<Offer>,
     asked_to_hand_over: bool,
+    /// It was logged that the next process can't find this one.
+    told_unfound: bool,
 }
 
 fn settled(
@@ -245,6 +247,7 @@
             next,
             offer: None,
             asked_to_hand_over: false,
+            told_unfound: false,
         };
         ingress.clients.ask(callers);
         match inherited {
@@ -425,7 +428,13 @@
         let registry = self.poll.registry();
         let Some(path) = self.next.as_deref().filter(|_| !self.shutdown.begun()) else { return };
         if self.offer.is_none() {
-            self.offer = Offer::open(path, registry, HANDOVER).ok();
+            match Offer::open(path, registry, HANDOVER) {
+                Ok(offer) => self.offer = Some(offer),
+                Err(why) if !std::mem::replace(&mut self.told_unfound, true) => {
+                    tracing::warn!("handover: the next process can't find this one yet: {why}");
+                }
+                Err(_) => {}
+            }
         }
         if let Some(peers) = self.peers.as_mut().filter(|p| !p.bound()) {
             if peers.bind_again(registry, PEERS).is_ok() {
