--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1200,7 +1200,7 @@
             c.fill(self.now, &self.s.plans[c.plan]);
             c.carry(&self.s.plans[c.plan], &new.plans[c.plan]);
         }
-        // A name that comes back with another effect is another class: what was learned of the old one is not its.
+        // A name that comes back with another effect is another class: nothing of the old one is its.
         let known = self.s.classes.iter().zip(&new.classes).enumerate();
         for (k, (_, c)) in known.filter(|(_, (was, is))| was.repeat != is.repeat) {
             self.usual[k] = Usual::first(c, self.now);
