Roster: who belongs to a group, decisions by a majority, leases to serve

Need: a change is neither everywhere nor nowhere as soon as one ingress is missing (issue on partial failure).

Change: crates/roster, free of I/O and clocks: seats, decrees, the acceptor's and the proposer's side of one Paxos decision a decree, and leases that a majority renews and nobody gives to whoever has not taken up the next decree. Not taken: extending the two phases with fences, whose recovery needs every member.

Nothing uses it yet.

--- /dev/null
+++ b/crates/roster/src/decree.rs
@@ -0,0 +1,187 @@
+//! What stands in a group.
+
+use crate::seats::{Kind, Roster};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wrenfork_control::state::{Digest, Generation, State};
+
+/// What each member is to enforce: what is the same for all once, and what is a member's own.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Policy {
+    /// What all have.
+    pub common: State,
+    /// What a member has besides, by its name.
+    pub own: BTreeMap<String, State>,
+}
+
+impl Policy {
+    /// Of what each member is to enforce.
+    pub fn of(states: &BTreeMap<String, Arc<State>>) -> Policy {
+        let mut all = states.values();
+        let mut common = all.next().map_or_else(State::default, |s| State::clone(s));
+        for one in all {
+            common.0.retain(|key, value| one.0.get(key) == Some(value));
+        }
+        let rest = |s: &State| {
+            let own = s.0.iter().filter(|(key, _)| !common.0.contains_key(*key));
+            State(own.map(|(k, v)| (k.clone(), v.clone())).collect())
+        };
+        let own = states.iter().map(|(name, s)| (name.clone(), rest(s))).collect();
+        Policy { common, own }
+    }
+
+    /// What a member is to enforce; none where nothing is said of it.
+    pub fn at(&self, name: &str) -> Option<State> {
+        let own = self.own.get(name)?;
+        let mut state = self.common.clone();
+        state.0.extend(own.0.iter().map(|(k, v)| (k.clone(), v.clone())));
+        Some(state)
+    }
+
+    /// Over all of it.
+    pub fn digest(&self) -> Digest {
+        let mut text = self.common.canonical();
+        for (name, own) in &self.own {
+            text.push_str(&format!("\n{} {name}\n", name.len()));
+            text.push_str(&own.canonical());
+        }
+        Digest::of(text.as_bytes())
+    }
+}
+
+/// One decision: who belongs to the group from now on, and what they enforce. It says all, so that whoever missed any number
+/// of them needs the last one alone. Two are the same if their digests are.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Decree {
+    /// Its number; the first is 1.
+    pub number: u64,
+    /// The generation that is enforced under it.
+    pub generation: u64,
+    /// The change that it makes: a plan's identity; empty where it changes no policy.
+    pub change: Digest,
+    /// Who made it.
+    pub author: String,
+    /// Who belongs to the group.
+    pub roster: Roster,
+    /// What they enforce.
+    pub policy: Arc<Policy>,
+    /// The digest of that.
+    pub enforced: Digest,
+    /// What tells this decree from every other: the digest of all before.
+    pub digest: Digest,
+}
+
+impl PartialEq for Decree {
+    fn eq(&self, other: &Decree) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for Decree {}
+
+impl std::hash::Hash for Decree {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.digest.hash(state);
+    }
+}
+
+impl Decree {
+    /// A decree over a policy.
+    pub fn new(
+        number: u64,
+        generation: u64,
+        change: Digest,
+        author: &str,
+        roster: Roster,
+        policy: Policy,
+    ) -> Decree {
+        let (author, policy, enforced) = (author.into(), Arc::new(policy), Digest::default());
+        Decree { number, generation, change, author, roster, policy, enforced, digest: Digest::default() }
+            .sealed()
+    }
+
+    /// With its digests.
+    fn sealed(mut self) -> Decree {
+        self.enforced = self.policy.digest();
+        self.digest = self.own_digest();
+        self
+    }
+
+    fn own_digest(&self) -> Digest {
+        let Decree { number, generation, change, author, roster, policy: _, enforced, digest: _ } = self;
+        Digest::of(format!("{number} {generation} {change:?} {author:?} {roster:?} {enforced:?}").as_bytes())
+    }
+
+    /// The next decree, that changes nothing: it ends what was left undecided.
+    pub fn nothing(&self) -> Decree {
+        let (number, change) = (self.number + 1, Digest::default());
+        Decree { number, change, author: String::new(), ..self.clone() }.sealed()
+    }
+
+    /// The next decree, with another roster; a member that is new enforces what stands for `like`.
+    pub fn seated(&self, author: &str, roster: Roster, like: &str) -> Decree {
+        let mut policy = Policy::clone(&self.policy);
+        for seat in roster.seats.iter().filter(|s| s.kind == Kind::Ingress) {
+            if !policy.own.contains_key(&seat.name) {
+                let own = policy.own.get(like).cloned().unwrap_or_default();
+                policy.own.insert(seat.name.clone(), own);
+            }
+        }
+        policy.own.retain(|name, _| roster.seat(name).is_some());
+        let (number, change, policy) = (self.number + 1, Digest::default(), Arc::new(policy));
+        Decree { number, change, author: author.into(), roster, policy, ..self.clone() }.sealed()
+    }
+
+    /// Whether it is what it says that it is.
+    ///
+    /// # Errors
+    ///
+    /// With what is wrong.
+    pub fn check(&self) -> Result<(), String> {
+        self.roster.check().map_err(|e| e.to_string())?;
+        if self.policy.digest() != self.enforced || self.own_digest() != self.digest {
+            return Err(format!("decree {} does not have its own digest", self.number));
+        }
+        Ok(())
+    }
+
+    /// What a member enforces under it, with its generation; none for a witness.
+    pub fn at(&self, name: &str) -> Option<(Generation, State)> {
+        let state = self.policy.at(name)?;
+        Some((Generation { number: self.generation, digest: state.digest() }, state))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn state(pairs: &[(&str, &str)]) -> Arc<State> {
+        Arc::new(State(pairs.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect()))
+    }
+
+    #[test]
+    fn each_member_gets_back_what_it_was_to_enforce_and_what_is_common_stands_once() {
+        let states: BTreeMap<String, Arc<State>> = [
+            ("a".to_string(), state(&[("k", "1"), ("discovery", "x")])),
+            ("b".to_string(), state(&[("k", "1"), ("discovery", "y"), ("more", "2")])),
+        ]
+        .into();
+        let policy = Policy::of(&states);
+        assert_eq!(policy.common, *state(&[("k", "1")]));
+        for (name, wanted) in &states {
+            assert_eq!(policy.at(name).as_ref(), Some(&**wanted));
+        }
+        assert_eq!(policy.at("c"), None);
+        let mut other = policy.clone();
+        other.own.get_mut("a").unwrap().0.insert("discovery".into(), "z".into());
+        assert_ne!(policy.digest(), other.digest());
+        let decree = Decree::new(3, 2, Digest::of(b"change"), "ann", Roster::default(), policy);
+        let altered = Decree { policy: Arc::new(other), ..decree.clone() };
+        assert!(altered.check().is_err());
+        assert_ne!(decree.digest, decree.nothing().digest);
+        let text = serde_json::to_string(&decree).unwrap();
+        assert_eq!(serde_json::from_str::<Decree>(&text).unwrap(), decree);
+    }
+}
--- /dev/null
+++ b/crates/roster/src/proposer.rs
@@ -0,0 +1,372 @@
+//! Whoever wants a decree decided: an applier with a change, a member that settles what another left half decided, or the
+//! members of a group that has not been formed yet.
+//!
+//! First every member is asked to take part and to look at the change; one that is there and could not enforce it ends it
+//! before anything is decided. With a majority it goes on: what a member has taken up in an earlier ballot comes first, and
+//! only where none has does the proposer's own value. With a majority that has taken it up the decree is decided, whatever
+//! becomes of the proposer. It is told to be enforced once every member that serves has taken it up, or the lease of those
+//! that have not has surely run out.
+
+use crate::decree::{Decree, Policy};
+use crate::protocol::{Ask, Ballot, Say};
+use crate::seats::{Folder, Kind, Roster, Seat};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use wrenfork_control::state::{Digest, State};
+
+/// How often whoever has taken a decree up is told that its proposer is still there, as a part of the lease: well under the
+/// half of it after which a member begins to settle.
+const STILL: u32 = 6;
+/// Between two tries at a member that did not answer, as a part of the lease.
+const AGAIN: u32 = 10;
+
+/// What is wanted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Aim {
+    /// This decree, made from the one that stands.
+    Change(Arc<Decree>),
+    /// An end of what is taken up and not decided: what one has taken up, else nothing new.
+    Settle,
+    /// The first decree, by all members of a charter.
+    Form,
+}
+
+/// Where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// Members are asked to take part.
+    Promising,
+    /// Members are asked to take the decree up.
+    Accepting,
+    /// It is decided, and told.
+    Telling,
+    /// It has ended.
+    Ended(End),
+}
+
+/// How it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum End {
+    /// The decree stands, and nobody serves under the one before any more.
+    Made,
+    /// A member that is there could not: nothing has happened. Who, and why.
+    Refused(Vec<(String, String)>),
+    /// Too few answered, and nothing has happened: votes that came, and those that are enough.
+    Few(usize, usize),
+    /// Somebody has a higher ballot.
+    Outbid(Ballot),
+    /// Another decree has that number.
+    Overtaken(u64),
+    /// Time was over before it was decided, or before all were told: members settle it among themselves.
+    Unfinished,
+}
+
+/// A member, as a proposer sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Peer {
+    name: String,
+    kind: Kind,
+    /// It is asked, and has not answered.
+    asked: bool,
+    /// Not to be asked again before this.
+    not_before: Duration,
+    /// It has answered what this phase asks.
+    answered: bool,
+    /// And its vote counts.
+    voted: bool,
+    /// It has taken the decree up, so that it may go on serving under the one before.
+    ready: bool,
+    /// It wants all of the decree.
+    wants: bool,
+    folder: Folder,
+    own: Option<(u64, Arc<State>)>,
+    /// Why it did not, last.
+    why: Option<String>,
+}
+
+/// A proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Proposer {
+    aim: Aim,
+    number: u64,
+    ballot: Ballot,
+    /// The decree before, whose roster decides.
+    base: Arc<Decree>,
+    peers: Vec<Peer>,
+    best: Option<(Ballot, Arc<Decree>)>,
+    value: Option<(Arc<Decree>, Digest)>,
+    /// When this phase began.
+    since: Duration,
+    /// When its majority was there.
+    enough: Option<Duration>,
+    /// Where it stands.
+    pub phase: Phase,
+}
+
+impl Proposer {
+    /// Begins. `base` is the decree that stands, and `ballot` higher than all that are known, its number drawn.
+    pub fn begin(base: Arc<Decree>, aim: Aim, ballot: Ballot, now: Duration) -> Proposer {
+        Proposer::new(aim, base.number + 1, ballot, base, now)
+    }
+
+    /// Begins to form a group of all that a charter names.
+    pub fn form(charter: Roster, ballot: Ballot, now: Duration) -> Proposer {
+        let none = Decree { roster: charter, ..Decree::default() };
+        Proposer::new(Aim::Form, 1, ballot, Arc::new(none), now)
+    }
+
+    fn new(aim: Aim, number: u64, ballot: Ballot, base: Arc<Decree>, now: Duration) -> Proposer {
+        let peer = |s: &Seat| Peer {
+            name: s.name.clone(),
+            kind: s.kind,
+            asked: false,
+            not_before: now,
+            answered: false,
+            voted: false,
+            ready: false,
+            wants: false,
+            folder: 0,
+            own: None,
+            why: None,
+        };
+        let peers = base.roster.seats.iter().map(peer).collect();
+        let (best, value, enough, phase) = (None, None, None, Phase::Promising);
+        Proposer { aim, number, ballot, base, peers, best, value, since: now, enough, phase }
+    }
+
+    /// The members' names, in the order in which they are numbered here.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.peers.iter().map(|p| p.name.as_str())
+    }
+
+    /// The ballot.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// The decree that is decided, or is to be.
+    pub fn value(&self) -> Option<&Arc<Decree>> {
+        self.value.as_ref().map(|v| &v.0)
+    }
+
+    /// Members that have not done what this phase asks, with what they said last.
+    pub fn away(&self) -> Vec<(String, String)> {
+        let away = self.peers.iter().filter(|p| !p.answered);
+        away.map(|p| (p.name.clone(), p.why.clone().unwrap_or_else(|| "it does not answer".into()))).collect()
+    }
+
+    /// Whether nothing but the wait for leases to run out is left to do before all is told.
+    pub fn waits(&self) -> bool {
+        self.phase == Phase::Accepting && self.enough.is_some()
+    }
+
+    fn votes(&self) -> usize {
+        self.peers.iter().filter(|p| p.voted).count()
+    }
+
+    fn needed(&self) -> usize {
+        // A group is formed by all of it: no majority could know that there is none yet.
+        if self.aim == Aim::Form {
+            self.peers.len()
+        } else {
+            self.base.roster.majority()
+        }
+    }
+
+    fn turn(&mut self, phase: Phase, now: Duration) {
+        (self.phase, self.since, self.enough) = (phase, now, None);
+        for p in &mut self.peers {
+            // An answer to what the last phase asked may still come; it counts for nothing then.
+            (p.answered, p.voted, p.asked, p.not_before, p.why) = (false, false, false, now, None);
+        }
+    }
+
+    fn end(&mut self, end: End) {
+        self.phase = Phase::Ended(end);
+    }
+
+    /// What is to be asked of which member now. Each is asked one thing at a time.
+    pub fn asks(&mut self, now: Duration) -> Vec<(usize, Ask)> {
+        self.go_on(now);
+        let (number, ballot, phase) = (self.number, self.ballot, self.phase.clone());
+        let trial = match &self.aim {
+            Aim::Change(decree) => Some(decree.clone()),
+            Aim::Settle | Aim::Form => None,
+        };
+        let value = self.value.clone();
+        let still = self.base.roster.lease() / STILL;
+        let mut asks = Vec::new();
+        for (n, p) in self.peers.iter_mut().enumerate().filter(|(_, p)| !p.asked && p.not_before <= now) {
+            let ask = match (&phase, &value) {
+                (Phase::Promising, _) if !p.answered => Ask::Promise { number, ballot, trial: trial.clone() },
+                (Phase::Accepting, Some((decree, _))) if !p.answered => {
+                    Ask::Accept { ballot, decree: decree.clone() }
+                }
+                (Phase::Accepting, _) if p.answered => {
+                    p.not_before = now + still;
+                    Ask::Still { ballot }
+                }
+                (Phase::Telling, Some((decree, digest))) if !p.answered => {
+                    let whole = !p.ready || p.wants;
+                    Ask::Decided { number, digest: digest.clone(), decree: whole.then(|| decree.clone()) }
+                }
+                _ => continue,
+            };
+            p.asked = true;
+            asks.push((n, ask));
+        }
+        asks
+    }
+
+    /// When to ask again, at the latest, if nothing is heard.
+    pub fn next(&self, now: Duration) -> Duration {
+        let due = self.peers.iter().filter(|p| !p.asked && !(p.answered && self.phase != Phase::Accepting));
+        let due = due.map(|p| p.not_before).chain(self.ready_at());
+        due.min().map_or(self.base.roster.lease(), |at| at.saturating_sub(now))
+    }
+
+    /// When this phase is over though not all have answered.
+    fn ready_at(&self) -> Option<Duration> {
+        let enough = self.enough?;
+        match self.phase {
+            // Those that answer slowly are waited for a little, so that they need not be shut out.
+            Phase::Promising if self.aim == Aim::Settle => Some(enough),
+            Phase::Promising => Some(enough.max(self.since + self.base.roster.lease() / 3)),
+            // Asked for before the last of the majority said so, counted by the slowest clock.
+            Phase::Accepting | Phase::Telling => Some(enough + self.base.roster.surely_out()),
+            Phase::Ended(_) => None,
+        }
+    }
+
+    fn go_on(&mut self, now: Duration) {
+        if self.enough.is_none() && self.votes() >= self.needed() {
+            self.enough = Some(now);
+        }
+        // Whom this phase has to wait for. Whoever has not taken the decree up serves no more once the wait is over, and
+        // need not be waited for when it is told.
+        let waited_for = |p: &&Peer| match self.phase {
+            Phase::Accepting => p.kind == Kind::Ingress,
+            Phase::Telling => p.kind == Kind::Ingress && p.ready,
+            _ => true,
+        };
+        let all = self.peers.iter().filter(waited_for).all(|p| p.answered);
+        if self.enough.is_none() || !(all || self.ready_at().is_some_and(|at| at <= now)) {
+            return;
+        }
+        match self.phase {
+            Phase::Promising => {
+                let decree = match (self.best.take(), &self.aim) {
+                    (Some((_, decree)), _) => decree,
+                    (None, Aim::Change(decree)) => decree.clone(),
+                    (None, Aim::Settle) => Arc::new(self.base.nothing()),
+                    (None, Aim::Form) => Arc::new(self.first()),
+                };
+                let digest = decree.digest.clone();
+                self.value = Some((decree, digest));
+                self.turn(Phase::Accepting, now);
+            }
+            Phase::Accepting => self.turn(Phase::Telling, now),
+            Phase::Telling => {
+                let own = match (&self.aim, &self.value) {
+                    (Aim::Change(wanted), Some((decree, _))) => wanted == decree,
+                    _ => true,
+                };
+                self.end(if own { End::Made } else { End::Overtaken(self.number) });
+            }
+            Phase::Ended(_) => {}
+        }
+    }
+
+    /// The first decree: everybody goes on with what it enforces, and votes by the folder that it has.
+    fn first(&self) -> Decree {
+        let folder = |name: &str| self.peers.iter().find(|p| p.name == name).map_or(0, |p| p.folder);
+        let seats =
+            self.base.roster.seats.iter().map(|s| Seat { folder: folder(&s.name), ..s.clone() }).collect();
+        let roster = Roster { version: 1, seats, ..self.base.roster.clone() };
+        let own = self.peers.iter().filter_map(|p| Some((p.name.clone(), p.own.clone()?)));
+        let own: BTreeMap<_, _> = own.collect();
+        let generation = own.values().map(|o| o.0).max().unwrap_or(1).max(1);
+        let states = own.into_iter().map(|(name, o)| (name, o.1)).collect();
+        Decree::new(1, generation, Digest::default(), "", roster, Policy::of(&states))
+    }
+
+    /// Takes what came of the ask that a member was sent: its answer, or none where the connection broke or nothing came in
+    /// time, and it may have done what was asked. One that answers what an earlier phase asked counts for nothing.
+    pub fn heard(&mut self, member: usize, asked: &Ask, answer: Result<Say, String>, now: Duration) {
+        let (again, number) = (self.base.roster.lease() / AGAIN, self.number);
+        let roster = &self.base.roster;
+        let forming = self.aim == Aim::Form;
+        let Some(p) = self.peers.get_mut(member) else { return };
+        let ours = matches!(
+            (&self.phase, asked),
+            (Phase::Promising, Ask::Promise { .. })
+                | (Phase::Accepting, Ask::Accept { .. } | Ask::Still { .. })
+                | (Phase::Telling, Ask::Decided { .. })
+        );
+        if !ours {
+            return;
+        }
+        p.asked = false;
+        let counts = |folder| roster.counts(&p.name, folder) || forming && folder != 0;
+        match (answer, asked) {
+            (_, Ask::Still { .. }) => {}
+            (Ok(Say::Promised { folder, accepted, own }), Ask::Promise { .. }) => {
+                (p.answered, p.voted, p.folder, p.own) = (true, counts(folder), folder, own);
+                if p.voted && accepted.as_ref().is_some_and(|a| self.best.as_ref().is_none_or(|b| b.0 < a.0))
+                {
+                    self.best = accepted;
+                }
+            }
+            (Ok(Say::Accepted { folder }), Ask::Accept { .. }) => {
+                (p.answered, p.ready, p.voted) = (true, true, counts(folder));
+            }
+            (Ok(Say::Decided { folder, number: at }), Ask::Decided { .. }) if at >= number => {
+                (p.answered, p.voted) = (true, counts(folder));
+            }
+            (Ok(Say::Want), Ask::Decided { .. }) => p.wants = true,
+            (Ok(Say::Moved { number: at, digest }), Ask::Promise { .. } | Ask::Accept { .. })
+                if at >= number =>
+            {
+                // It may be this very decree, settled by a member already: then it stands there.
+                let same = at == number && self.value.as_ref().is_some_and(|v| v.1 == digest);
+                if same && matches!(asked, Ask::Accept { .. }) {
+                    let folder = roster.seat(&p.name).map_or(0, |s| s.folder);
+                    (p.answered, p.ready, p.voted) = (true, true, counts(folder));
+                } else {
+                    self.end(End::Overtaken(at));
+                }
+            }
+            (Ok(Say::Moved { number: at, .. }), _) => {
+                p.why = Some(format!("it has not heard of more than decree {at}"));
+                p.not_before = now + again;
+            }
+            (Ok(Say::Outbid { ballot }), _) => self.end(End::Outbid(ballot)),
+            // Nothing has been decided yet: it ends here, and nothing has happened.
+            (Ok(Say::No { why } | Say::Unable { why }), Ask::Promise { .. })
+                if matches!(self.aim, Aim::Change(_)) =>
+            {
+                let refused = vec![(p.name.clone(), why)];
+                self.end(End::Refused(refused));
+            }
+            (Ok(Say::No { why } | Say::Unable { why }) | Err(why), _) => {
+                p.why = Some(why);
+                p.not_before = now + again;
+            }
+            (Ok(_), _) => {
+                p.why = Some("it answers something else".into());
+                p.not_before = now + again;
+            }
+        }
+        self.go_on(now);
+    }
+
+    /// Ends it for want of time.
+    pub fn give_up(&mut self) {
+        match self.phase {
+            Phase::Ended(_) => {}
+            Phase::Promising => self.end(End::Few(self.votes(), self.needed())),
+            _ => self.end(End::Unfinished),
+        }
+    }
+}
--- /dev/null
+++ b/crates/roster/src/protocol.rs
@@ -0,0 +1,206 @@
+//! The messages between members, and between `wrenctl` and a member: lines of the control sockets' protocol
+//! (`wrenfork_control::protocol`), told from its other asks by the key `group`.
+
+use crate::decree::Decree;
+use crate::seats::{Folder, Kind, Roster};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use wrenfork_control::state::{Digest, State};
+
+/// Who proposes: a round, and a number drawn by whoever proposes in it, so that no two are alike.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Higher than all that were seen before.
+    pub round: u64,
+    /// Whose it is.
+    pub by: u64,
+}
+
+/// A life of a member's process, and how much its folder has written. Each start draws another life; a folder that was put
+/// back from a copy has written less than others know of it, or has another life at the same age.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Age {
+    /// Writes of its folder so far.
+    pub writes: u64,
+    /// The life of its process, drawn at its start.
+    pub life: u64,
+}
+
+impl Age {
+    /// Whether a folder that says it is of this age must be an older copy of one that was seen at another.
+    pub fn is_older_than(&self, seen: &Age) -> bool {
+        self.writes < seen.writes || self.writes == seen.writes && self.life != seen.life
+    }
+}
+
+/// What is asked of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "group", rename_all = "kebab-case")]
+pub enum Ask {
+    /// To say that a decree still stands: a lease for whoever asks, from the moment of its asking on.
+    Renew {
+        /// Who asks.
+        from: String,
+        /// Its folder.
+        folder: Folder,
+        /// The folder's age.
+        age: Age,
+        /// The decree that it serves under; 0 where it knows none.
+        number: u64,
+        /// The next decree, where it has taken that up.
+        ready: Option<Digest>,
+    },
+    /// To take part in deciding decree `number`, and in no lower ballot any more.
+    Promise {
+        /// Which decree.
+        number: u64,
+        /// Whose.
+        ballot: Ballot,
+        /// What would be proposed, to be looked at: whoever could not enforce it says so before anything is decided.
+        trial: Option<Arc<Decree>>,
+    },
+    /// To take a decree up: from now on it is enforced as soon as it is said to be decided, and nobody who hasn't taken
+    /// it up is told that the one before still stands.
+    Accept {
+        /// Whose.
+        ballot: Ballot,
+        /// What.
+        decree: Arc<Decree>,
+    },
+    /// Whoever proposed is still at work on a decree that was taken up.
+    Still {
+        /// Whose.
+        ballot: Ballot,
+    },
+    /// A decree is decided.
+    Decided {
+        /// Its number.
+        number: u64,
+        /// Its digest.
+        digest: Digest,
+        /// All of it, for those that have not taken it up.
+        decree: Option<Arc<Decree>>,
+    },
+    /// What stands, whole.
+    Learn,
+    /// How it stands, for people and for whoever proposes.
+    Stand,
+}
+
+/// What becomes of a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// It still stands.
+    Granted,
+    /// Another decree has been taken up here, and whoever asks has not.
+    Pending,
+    /// Another one stands here already.
+    Behind,
+    /// Whoever asks knows more than this member.
+    Ahead,
+    /// No seat has that name.
+    Stranger,
+    /// The group has not been formed yet.
+    Unformed,
+    /// Another process of that name, with another folder, may still be serving.
+    Twin,
+}
+
+/// A member's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "say", rename_all = "kebab-case")]
+pub enum Say {
+    /// To a renewal.
+    Renewed {
+        /// The folder of whoever answers.
+        folder: Folder,
+        /// The decree that stands there.
+        number: u64,
+        /// What was seen of the folder of whoever asks, before this ask.
+        seen: Option<Age>,
+        /// What becomes of it.
+        verdict: Verdict,
+    },
+    /// It takes part.
+    Promised {
+        /// Its folder.
+        folder: Folder,
+        /// What it has taken up in a lower ballot.
+        accepted: Option<(Ballot, Arc<Decree>)>,
+        /// What it enforces, where no decree stands yet.
+        own: Option<(u64, Arc<State>)>,
+    },
+    /// It has taken the decree up.
+    Accepted {
+        /// Its folder.
+        folder: Folder,
+    },
+    /// Somebody has a higher ballot.
+    Outbid {
+        /// That one.
+        ballot: Ballot,
+    },
+    /// Another number is to be decided here.
+    Moved {
+        /// The decree that stands.
+        number: u64,
+        /// Its digest.
+        digest: Digest,
+    },
+    /// The decree stands there now.
+    Decided {
+        /// Its folder.
+        folder: Folder,
+        /// The decree that stands.
+        number: u64,
+    },
+    /// All of the decree is needed.
+    Want,
+    /// What stands; nothing where the group has not been formed.
+    Learnt {
+        /// It.
+        decree: Option<Arc<Decree>>,
+    },
+    /// How it stands.
+    Stands(Box<Stand>),
+    /// It does not; nothing has changed.
+    No {
+        /// Why, in plain words.
+        why: String,
+    },
+    /// It can't right now, by the disk for one; nothing has changed, and it may be asked again.
+    Unable {
+        /// Why, in plain words.
+        why: String,
+    },
+}
+
+/// How it stands at a member.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stand {
+    /// Its name.
+    pub name: String,
+    /// Its folder.
+    pub folder: Folder,
+    /// What it is, if its seat says so.
+    pub kind: Option<Kind>,
+    /// The decree that stands there; 0 where the group has not been formed.
+    pub number: u64,
+    /// The generation that is enforced under it.
+    pub generation: u64,
+    /// Its change.
+    pub change: Digest,
+    /// The decree's digest.
+    pub digest: Digest,
+    /// The roster under it.
+    pub roster: Roster,
+    /// The highest ballot that it takes part in.
+    pub promised: Ballot,
+    /// The next decree, where it has taken one up.
+    pub pending: Option<Digest>,
+    /// Milliseconds for which it may still serve; none where it may not.
+    pub lease_ms: Option<u64>,
+    /// Why it does not vote, where it does not.
+    pub unsure: Option<String>,
+}
