Members of a group renew their leases, learn what stands and settle what was left

A member needs a thread that renews its lease with the others, takes up what it missed, and ends what somebody left half decided; and the loop needs one deadline to compare its clock with.

The change: crates/keeper carries crates/roster on the control sockets (one poll thread for all links, a write of the ledger before each answer, decrees kept once by their digest); crates/config reads [roster], [[witness]] and a sidecar's links, with codes C411 to C419; the ingress asks its gate for each request and answers -BUSY with a time while that is shut, PING too, and is unready. Without a roster there is no gate and the control side does what it did.

Not taken: a thread for each link.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -29,17 +29,17 @@
 }
 
 impl<T> In<'_, T> {
-    fn at(&self, span: &Range<usize>) -> Place {
+    pub(crate) fn at(&self, span: &Range<usize>) -> Place {
         Place { file: self.file, span: span.clone() }
     }
 
-    fn wrong<V>(&self, code: Code, at: &At<V>, message: impl Into<String>) -> Diagnostic {
+    pub(crate) fn wrong<V>(&self, code: Code, at: &At<V>, message: impl Into<String>) -> Diagnostic {
         Diagnostic::new(code, self.at(&at.span), message)
     }
 }
 
 /// Names that must differ.
-fn twice<'a, T, V: Ord + 'a>(
+pub(crate) fn twice<'a, T, V: Ord + 'a>(
     file: &In<T>,
     what: &str,
     names: impl Iterator<Item = (&'a At<V>, String)>,
@@ -57,11 +57,11 @@
     }
 }
 
-fn quoted(names: &At<String>) -> (&At<String>, String) {
+pub(crate) fn quoted(names: &At<String>) -> (&At<String>, String) {
     (names, format!("\"{}\"", names.value))
 }
 
-fn unknown<'a, T>(
+pub(crate) fn unknown<'a, T>(
     file: &In<T>,
     code: Code,
     what: &str,
@@ -213,6 +213,7 @@
         found.push(a.wrong(Code::TooTight, &app.descriptors, "a sidecar needs 64 descriptors at the least"));
     }
     sidecars(a, site, found);
+    crate::group::check(a, found);
     identity(a, site, true, found);
     accounts(a, s, found);
     if !app.bad_pools {
@@ -697,7 +698,7 @@
         for sidecar in &app.sidecars {
             let listen = sidecar.listen.as_ref().map(|l| (l.value.to_string(), &l.span));
             let peers = sidecar.peers.as_ref().map(|p| (format!("{}/udp", p.value), &p.span));
-            let paths = [&sidecar.control, &sidecar.state];
+            let paths = [&sidecar.control, &sidecar.state, &sidecar.links];
             let paths = paths.into_iter().flatten().map(|p| (p.value.clone(), &p.span));
             for (address, span) in listen.into_iter().chain(peers).chain(paths) {
                 let shown = address.trim_end_matches("/udp").to_string();
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -169,6 +169,24 @@
         "Between the end of one key and the start of the next, or from the last one's end on, every token of the issuer would be refused. List the new key with a `from` before the old one's `until`, and give the last one no end.";
     NotItsAccount, "C410", Refused, "a tenant with an account that is not the application's",
         "A tenant names accounts of the application that the file describes; requests for others are turned away whoever sends them.";
+    RosterOfOne, "C411", Warned, "a roster with one that decides",
+        "With one member that decides nothing is gained: while it is away no change is made, and nobody else may serve. Three that decide survive the loss of any one.";
+    RosterOfTwo, "C412", Warned, "a roster of two that decide",
+        "A majority of two is two: the loss of either stops changes, and with `alone = \"refuse\"` the other one's service as well. Add a `[[witness]]`, which keeps promises and serves nobody.";
+    RosterEven, "C413", Warned, "a roster with an even number of those that decide",
+        "Four that decide survive the loss of one, as three do, and a split into halves leaves neither with a majority. Add a `[[witness]]`, or name an odd number of `voters`.";
+    RosterUnkept, "C414", Refused, "a member of the roster without a control socket or a folder",
+        "Members ask each other on their control sockets, and a promise that is forgotten with a restart is none. Give each sidecar of the application `control` and `state`.";
+    OddLease, "C415", Refused, "a lease that can't be kept",
+        "A lease is renewed three times in its length: a member whose disk takes 100 ms for a commit, or whose clock goes 1% wrong, must not lose it by that, so 300 ms are the least. One of more than 60 s would keep every change with one away waiting for as long.";
+    NoSuchMember, "C416", Refused, "a vote for a member that the files don't know",
+        "`voters` names sidecars and witnesses of the same file.";
+    AsKnown, "C417", Warned, "members that serve on without the others",
+        "With `alone = \"as-known\"` a member that is cut off serves on under what it knew, also after the others have made a change: the change does not hold everywhere until it is back. Without it such a member turns requests away, which keeps \"everywhere or nowhere\" and costs its part of the service while it is cut off.";
+    ManyVoters, "C418", Warned, "more that decide than are needed",
+        "Each renewal of a lease asks a majority of those that decide, and each change waits for one. Name five or seven of them in `voters`; the others learn and serve as before.";
+    IdleWitness, "C419", Refused, "a witness without a roster",
+        "A witness keeps promises for a group. Add `[roster]`, or take the witness out.";
 }
 
 impl Code {
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -383,6 +383,20 @@
             "",
         ),
         must("sidecar", Kind::Tables(&SIDECAR, 64), "Its sidecars.", ""),
+        may(
+            "roster",
+            Kind::Table(&ROSTER),
+            "each change needs every sidecar",
+            "That the sidecars are a group: a majority decides a change, and serves under it.",
+            "",
+        ),
+        may(
+            "witness",
+            Kind::Tables(&WITNESS, 16),
+            "the sidecars alone decide",
+            "Members of the group that keep promises and serve nobody (`wrenctl witness`).",
+            "",
+        ),
         must(
             "account",
             Kind::Tables(&ACCOUNT, 200_000),
@@ -524,6 +538,58 @@
             "The folder where it keeps what it enforces and has promised.",
             "\"/var/lib/desk/desk-1\"",
         ),
+        may(
+            "links",
+            Kind::Path,
+            "the others' control sockets as they stand here",
+            "The folder in which it finds the other members' control sockets under their names: where members are on several machines, the operator forwards them there.",
+            "\"/run/desk/links\"",
+        ),
+    ],
+};
+
+static ROSTER: Table = Table {
+    name: "roster",
+    about: "That the sidecars are a group. Each needs `control` and `state`. It is formed once by all of them together; later changes of it are made by `wrenctl roster`.",
+    fields: &[
+        may(
+            "lease",
+            Kind::Time,
+            "1500ms",
+            "For how long a sidecar may serve on the word of a majority. A change that finds one missing waits for as long; one that is cut off serves for as long, then turns requests away.",
+            "\"1500ms\"",
+        ),
+        may(
+            "alone",
+            Kind::Choice(&["refuse", "as-known"]),
+            "refuse",
+            "What a sidecar does that too few others answer: turn requests away, or serve on with what it has, which a change may have left behind.",
+            "\"refuse\"",
+        ),
+        may(
+            "voters",
+            Kind::Names,
+            "all sidecars and witnesses",
+            "Those that decide. Five or seven are enough for any size: each renewal asks a majority of them.",
+            "[\"desk-1\", \"desk-2\", \"w-1\"]",
+        ),
+    ],
+};
+
+static WITNESS: Table = Table {
+    name: "witness",
+    about: "A member of the group that keeps promises and serves nobody, so that two sidecars survive the loss of either.",
+    fields: &[
+        must("name", Kind::Name, "What the group calls it.", "\"w-1\""),
+        must("control", Kind::Path, "Its control socket.", "\"/run/desk/w-1.control\""),
+        must("state", Kind::Path, "The folder where it keeps its promises.", "\"/var/lib/desk/w-1\""),
+        may(
+            "links",
+            Kind::Path,
+            "the others' control sockets as they stand here",
+            "The folder in which it finds the other members' control sockets under their names.",
+            "\"/run/desk/links\"",
+        ),
     ],
 };
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod enforced;
 pub mod form;
 pub mod format;
+pub mod group;
 pub mod locality;
 pub mod model;
 pub mod operator;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -278,6 +278,34 @@
     pub control: Option<At<String>>,
     /// The folder for what it must not forget.
     pub state: Option<At<String>>,
+    /// The folder in which it finds the other members' control sockets, where that is not where they listen.
+    pub links: Option<At<String>>,
+}
+
+/// A member of the roster that keeps promises and serves nobody.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    /// Its name.
+    pub name: At<String>,
+    /// Its control socket.
+    pub control: Option<At<String>>,
+    /// The folder for what it must not forget.
+    pub state: Option<At<String>>,
+    /// The folder in which it finds the others' control sockets.
+    pub links: Option<At<String>>,
+}
+
+/// That the sidecars are a group, which makes changes everywhere or nowhere while some are missing.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    /// Its place in the file.
+    pub span: Range<usize>,
+    /// For how long one may serve on the word of a majority, in microseconds.
+    pub lease: At<u64>,
+    /// What one does without a lease: `refuse` or `as-known`.
+    pub alone: Option<At<String>>,
+    /// Those that decide; all where none are named.
+    pub voters: Vec<At<String>>,
 }
 
 /// An account.
@@ -342,6 +370,10 @@
     pub cores: f64,
     /// Its sidecars.
     pub sidecars: Vec<Sidecar>,
+    /// That they are a group; none where each change needs all of them.
+    pub roster: Option<Roster>,
+    /// Members of the group that keep promises and serve nobody.
+    pub witnesses: Vec<Witness>,
     /// Its accounts.
     pub accounts: Vec<Account>,
     /// Its pools.
@@ -450,6 +482,8 @@
             descriptors: limits.whole("descriptors").unwrap_or_else(|| here(256)),
             cores: or(limits.number("cores"), 1.0),
             sidecars: f.tables("sidecar").iter().filter_map(sidecar).collect(),
+            roster: f.table("roster").map(roster),
+            witnesses: f.tables("witness").iter().filter_map(witness).collect(),
             accounts: f.tables("account").iter().filter_map(account).collect(),
             pools: f.tables("pool").iter().filter_map(pool).collect(),
             bad_pools: f.is_bad("pool"),
@@ -476,9 +510,25 @@
         peers: f.address("peers"),
         control: f.text("control"),
         state: f.text("state"),
+        links: f.text("links"),
     })
 }
 
+fn witness(f: &Fields) -> Option<Witness> {
+    let (control, state, links) = (f.text("control"), f.text("state"), f.text("links"));
+    Some(Witness { name: f.text("name")?, control, state, links })
+}
+
+fn roster(f: &Fields) -> Roster {
+    let here = |value| At { value, span: f.span.clone() };
+    Roster {
+        span: f.span.clone(),
+        lease: f.whole("lease").unwrap_or_else(|| here(1_500_000)),
+        alone: f.text("alone"),
+        voters: or(f.names("voters"), Vec::new()),
+    }
+}
+
 fn account(f: &Fields) -> Option<Account> {
     let (plan, quota, burst) = (f.text("plan"), f.number("quota"), f.number("burst"));
     Some(Account { id: f.whole("id")?, plan, quota, burst })
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -55,6 +55,9 @@
     pub differences: Vec<Vec<Difference>>,
     /// What is dangerous about it.
     pub dangers: Vec<Danger>,
+    /// Groups that decide by a majority: the control sockets of all their members by name, witnesses among them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub groups: Vec<BTreeMap<String, String>>,
 }
 
 /// Why a plan can't be applied, or read.
@@ -150,8 +153,19 @@
         let targets: Vec<Target> = targets.collect();
         let (version, differences, author) = (VERSION, lists, author.to_string());
         let any = differences.iter().any(|list| !list.is_empty());
-        let plan =
-            Plan { version, author, made_at, good_for, generation, targets, states, differences, dangers };
+        let groups = Vec::new();
+        let plan = Plan {
+            version,
+            author,
+            made_at,
+            good_for,
+            generation,
+            targets,
+            states,
+            differences,
+            dangers,
+            groups,
+        };
         any.then_some(plan)
     }
 
@@ -160,6 +174,7 @@
         let mut plan = self.clone();
         plan.targets.retain(keep);
         plan.states.retain(|digest, _| plan.targets.iter().any(|t| t.wanted == *digest));
+        plan.groups.retain(|members| plan.targets.iter().any(|t| members.contains_key(&t.ingress)));
         plan
     }
 
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::config::Callers;
 use crate::door::{Door, Proof};
 use crate::eviction::{Kind, Lines, Standing};
+use crate::gate::Gate;
 use crate::ledger::End;
 use crate::stream::{Listener, Stream};
 use mio::{Interest, Registry, Token};
@@ -270,6 +271,8 @@
     tokens: fn(usize) -> Token,
     /// What requests are read by; another one with another generation.
     pub words: Vocabulary,
+    /// What stands before requests.
+    pub gate: Gate,
     /// Who may come in; none where nobody is asked.
     door: Option<Door>,
     chunk: Vec<u8>,
@@ -306,6 +309,7 @@
             next_id: 0,
             tokens,
             words,
+            gate: Gate::default(),
             door: None,
             chunk: vec![0; CHUNK],
             args: Vec::new(),
@@ -675,6 +679,10 @@
                             c.closing = true;
                             at = c.buf.len();
                         }
+                        Some(Ok(call)) if !self.gate.open() => {
+                            self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
+                            c.answer_now(&self.gate.shut());
+                        }
                         Some(Ok(mut call)) => {
                             let asked = (call.request.customer.0, call.request.class);
                             let token = call.take_token();
@@ -704,7 +712,8 @@
                             .get(self.args[0].clone())
                             .is_some_and(|verb| verb.eq_ignore_ascii_case(b"PING")) =>
                         {
-                            c.answer_now(b"+PONG\r\n");
+                            let open = self.gate.open();
+                            c.answer_now(&if open { b"+PONG\r\n".to_vec() } else { self.gate.shut() });
                             c.errors = 0;
                         }
                         None if self.door.is_some()
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -7,11 +7,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 pub use wrenfork_config::callers::Callers;
-use wrenfork_config::enforced;
 use wrenfork_config::operator::Operator;
 use wrenfork_config::set::Set;
+use wrenfork_config::{enforced, group};
 use wrenfork_control::state::State;
 use wrenfork_decision::{Micros, Settings};
+use wrenfork_keeper::group::{Alone, Membership};
 use wrenfork_routes::Table;
 use wrenfork_wire::call::{Identity, Vocabulary};
 
@@ -71,6 +72,8 @@
     pub state: Option<PathBuf>,
     /// The sockets of the others that enforce the same.
     pub others: Vec<PathBuf>,
+    /// The group that it belongs to, if any.
+    pub membership: Option<Membership>,
 }
 
 /// What a state means here; `fixed` is what no change changes.
@@ -288,6 +291,11 @@
             socket: own.and_then(|s| path(&s.control)),
             state: own.and_then(|s| path(&s.state)),
             others: others.filter_map(|s| path(&s.control)).collect(),
+            membership: group::group(app).map(|g| Membership {
+                charter: g.charter(),
+                links: g.links(&enforced::called(app, name)),
+                alone: if g.as_known { Alone::AsKnown } else { Alone::Refuse },
+            }),
         };
         Ok(config)
     }
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -1,6 +1,7 @@
 //! The loop's end of the control side: orders that its threads send, taken between two turns, and the start of those threads.
 
 use crate::config::{compile, Config, Control, Enforced};
+use crate::gate::Gate;
 use mio::{Registry, Token, Waker};
 use std::path::Path;
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
@@ -41,6 +42,11 @@
         self.orders.try_iter().collect()
     }
 
+    /// What stands before requests.
+    pub fn gate(&self) -> Gate {
+        Gate::of(self.keeper.gate())
+    }
+
     /// Ends the control side.
     pub fn close(self) {
         self.keeper.close();
@@ -108,7 +114,9 @@
         return Ok(None);
     }
     let (control, own) = (config.control.clone(), State(config.told.state.clone()));
-    let first = || first(&control, &own);
+    // A group says itself what stands, and nothing is served before it has.
+    let first =
+        || if control.membership.is_some() { Memory::first(1, own.clone()) } else { first(&control, &own) };
     let ledger = Ledger::open(control.state.as_deref(), first)?;
     let memory = ledger.memory();
     let Generation { number, digest } = &memory.enforced;
@@ -171,7 +179,14 @@
         let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
         let (sender, orders) = channel();
         let served = Loop { fixed: self.fixed, orders: sender, waker: Arc::new(waker) };
-        let keeper = Keeper::start(&self.control.name, socket, self.ledger, served, self.most)?;
+        let keeper = Keeper::start(
+            &self.control.name,
+            socket,
+            self.ledger,
+            served,
+            self.most,
+            self.control.membership,
+        )?;
         tracing::info!("control: listening at {}", path.display());
         Ok(Some(Port { orders, keeper }))
     }
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -250,6 +250,7 @@
             told_unfound: false,
         };
         ingress.clients.ask(callers);
+        ingress.clients.gate = ingress.control.as_ref().map(Port::gate).unwrap_or_default();
         match inherited {
             Some(inherited) => ingress.resume(inherited, descriptors),
             None => ingress.take_roster(config.known, RosterKind::Cached),
@@ -408,6 +409,9 @@
         if self.shutdown.begun() {
             return Some("stopping");
         }
+        if !self.clients.gate.open() {
+            return Some("too few members of its group answer");
+        }
         (self.backends.listed() == 0).then_some("no backend is listed")
     }
 
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -10,6 +10,7 @@
 mod discovery;
 mod door;
 mod eviction;
+mod gate;
 mod ingress;
 mod ledger;
 mod logging;
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -1,10 +1,12 @@
-//! The other end of a control socket: one ask and its answer, within a time.
+//! The other end of a control socket: one ask and its answer, within a time. What is asked and said is the control protocol's
+//! or the group's.
 
+use serde::{Deserialize, Serialize};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::time::Duration;
-use wrenfork_control::protocol::{self, Ask, Say};
+use wrenfork_control::protocol;
 
 /// The longest answer: a state of some hundred thousand accounts.
 const MOST_ANSWER: u64 = 64 << 20;
@@ -14,7 +16,11 @@
 /// # Errors
 ///
 /// In plain words, where nobody answers; what was asked may have been done all the same.
-pub fn ask(path: &Path, ask: &Ask, patience: Duration) -> Result<Say, String> {
+pub fn ask<A: Serialize, S: for<'a> Deserialize<'a>>(
+    path: &Path,
+    ask: &A,
+    patience: Duration,
+) -> Result<S, String> {
     let failed = |e: std::io::Error| match e.kind() {
         std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => "it does not answer".to_string(),
         std::io::ErrorKind::NotFound => format!("{}: there is no such socket", path.display()),
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -23,6 +23,25 @@
     "fence.written",
 ];
 
+/// Every point of a member of a group, in the order in which an ask passes them.
+pub const GROUP_POINTS: [&str; 15] = [
+    "promise.heard",
+    "promise.unwritten",
+    "promise.written",
+    "promise.unanswered",
+    "promise.answered",
+    "accept.heard",
+    "accept.unwritten",
+    "accept.written",
+    "accept.unanswered",
+    "accept.answered",
+    "decided.heard",
+    "decided.unwritten",
+    "decided.written",
+    "decided.switched",
+    "decided.answered",
+];
+
 /// The point that is set, if any.
 #[derive(Clone, Debug, Default)]
 pub struct Faults(Option<(String, Arc<AtomicU32>)>);
--- a/crates/keeper/src/ledger.rs
+++ b/crates/keeper/src/ledger.rs
@@ -1,12 +1,17 @@
 //! What an ingress must not forget: its [`Memory`], the generations that it enforced before, and a record of what was planned
 //! and done. On a folder, where there is one; else for as long as the process lives.
 
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::path::Path;
 use std::sync::Arc;
 use wrenfork_control::participant::Memory;
 use wrenfork_control::protocol::Record;
-use wrenfork_control::state::{Generation, State};
+use wrenfork_control::state::{Digest, Generation, State};
+use wrenfork_roster::acceptor::Memory as Member;
+use wrenfork_roster::decree::Decree;
+use wrenfork_roster::protocol::Ballot;
+use wrenfork_roster::seats::Folder;
 use wrenfork_store::{Batch, Kind, Store};
 
 /// Generations that are kept to be gone back to, on a disk and in memory.
@@ -16,6 +21,23 @@
 const MOST_RECORDS: usize = 1_000;
 
 const MEMORY: &str = "memory";
+const GROUP: &str = "group";
+const DECREE: &str = "decree/";
+
+/// A member's memory as it is stored: a decree may be of some megabytes, and is written once, not with each promise.
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    name: String,
+    folder: Folder,
+    writes: u64,
+    decree: Option<Digest>,
+    promised: Ballot,
+    accepted: Option<(Ballot, Digest)>,
+}
+
+fn decree_name(digest: &Digest) -> String {
+    format!("{DECREE}{}", digest.0)
+}
 
 fn past_name(number: u64) -> String {
     format!("past/{number:020}")
@@ -90,31 +112,117 @@
             return Err("it is stopping".into());
         }
         if let Some(store) = &self.store {
-            let text = serde_json::to_vec(memory).map_err(|e| e.to_string())?;
-            let mut batch = Batch::new().put(Kind::Control, MEMORY, text);
-            if new {
-                let text =
-                    serde_json::to_vec(&(&memory.enforced, &memory.state)).map_err(|e| e.to_string())?;
-                batch = batch.put(Kind::Control, &past_name(memory.enforced.number), text);
-                let kept = store.names(Kind::Control).map_err(|e| e.to_string())?;
-                let past: Vec<&String> = kept.iter().filter(|k| k.starts_with("past/")).collect();
-                for old in past.iter().take((past.len() + 1).saturating_sub(MOST_PAST)) {
-                    batch = batch.delete(Kind::Control, old);
-                }
-            }
+            let mut batch = Self::own(store, Batch::new(), memory, new)?;
             if let Some(record) = record {
                 batch = self.with(batch, record)?;
             }
             store.commit(&batch).map_err(|e| e.to_string())?;
-        } else if new {
+        }
+        self.kept(memory, new);
+        if let Some(record) = record {
+            self.noted(record);
+        }
+        Ok(())
+    }
+
+    fn own(store: &Store, batch: Batch, memory: &Memory, new: bool) -> Result<Batch, String> {
+        let text = serde_json::to_vec(memory).map_err(|e| e.to_string())?;
+        let mut batch = batch.put(Kind::Control, MEMORY, text);
+        if new {
+            let text = serde_json::to_vec(&(&memory.enforced, &memory.state)).map_err(|e| e.to_string())?;
+            batch = batch.put(Kind::Control, &past_name(memory.enforced.number), text);
+            let kept = store.names(Kind::Control).map_err(|e| e.to_string())?;
+            let past: Vec<&String> = kept.iter().filter(|k| k.starts_with("past/")).collect();
+            for old in past.iter().take((past.len() + 1).saturating_sub(MOST_PAST)) {
+                batch = batch.delete(Kind::Control, old);
+            }
+        }
+        Ok(batch)
+    }
+
+    fn kept(&mut self, memory: &Memory, new: bool) {
+        if self.store.is_none() && new {
             self.past.push_back((memory.enforced.clone(), memory.state.clone()));
             let surplus = self.past.len().saturating_sub(MOST_PAST_IN_MEMORY);
             self.past.drain(..surplus);
         }
+        self.memory = memory.clone();
+    }
+
+    /// What this folder's member of a group must not forget; none where it never was one.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk fails, or what is kept can't be read.
+    pub fn member(&self) -> Result<Option<Member>, String> {
+        let Some(store) = &self.store else { return Ok(None) };
+        let told = |e: &dyn std::fmt::Display| format!("state: what is kept of the group can't be read: {e}");
+        let Some(text) = store.get(Kind::Control, GROUP).map_err(|e| told(&e))? else { return Ok(None) };
+        let stored: Stored = serde_json::from_slice(&text).map_err(|e| told(&e))?;
+        let decree = |digest: &Digest| {
+            let text = store.get(Kind::Control, &decree_name(digest)).map_err(|e| told(&e))?;
+            let text = text.ok_or_else(|| told(&"a decree is missing"))?;
+            let decree: Decree = serde_json::from_slice(&text).map_err(|e| told(&e))?;
+            decree.check().map_err(|e| told(&e))?;
+            Ok::<_, String>(Arc::new(decree))
+        };
+        let Stored { name, folder, writes, promised, .. } = stored;
+        let accepted = stored.accepted.as_ref().map(|(ballot, d)| Ok((*ballot, decree(d)?)));
+        let accepted = accepted.transpose().map_err(|e: String| e)?;
+        let decree = stored.decree.as_ref().map(decree).transpose()?;
+        Ok(Some(Member { name, folder, writes, decree, promised, accepted }))
+    }
+
+    /// Keeps what a member of a group must not forget, with what is enforced where that changes, and a record; all or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk refuses: nothing has changed then.
+    pub fn keep_member(
+        &mut self,
+        member: &Member,
+        own: Option<&Memory>,
+        record: Option<&Record>,
+    ) -> Result<(), String> {
+        if self.closed {
+            return Err("it is stopping".into());
+        }
+        if let Some(store) = &self.store {
+            let accepted = member.accepted.as_ref();
+            let stored = Stored {
+                name: member.name.clone(),
+                folder: member.folder,
+                writes: member.writes,
+                decree: member.decree.as_ref().map(|d| d.digest.clone()),
+                promised: member.promised,
+                accepted: accepted.map(|(ballot, d)| (*ballot, d.digest.clone())),
+            };
+            let text = serde_json::to_vec(&stored).map_err(|e| e.to_string())?;
+            let mut batch = Batch::new().put(Kind::Control, GROUP, text);
+            let kept = store.names(Kind::Control).map_err(|e| e.to_string())?;
+            let decrees: Vec<&Arc<Decree>> = member.decree.iter().chain(accepted.map(|a| &a.1)).collect();
+            let names: Vec<String> = decrees.iter().map(|d| decree_name(&d.digest)).collect();
+            for (decree, name) in decrees.iter().zip(&names).filter(|(_, name)| !kept.contains(name)) {
+                batch =
+                    batch.put(Kind::Control, name, serde_json::to_vec(decree).map_err(|e| e.to_string())?);
+            }
+            for old in kept.iter().filter(|k| k.starts_with(DECREE) && !names.contains(k)) {
+                batch = batch.delete(Kind::Control, old);
+            }
+            if let Some(own) = own {
+                batch = Self::own(store, batch, own, true)?;
+            }
+            if let Some(record) = record {
+                batch = self.with(batch, record)?;
+            }
+            store.commit(&batch).map_err(|e| e.to_string())?;
+        }
+        if let Some(own) = own {
+            self.kept(own, true);
+        }
         if let Some(record) = record {
             self.noted(record);
         }
-        self.memory = memory.clone();
         Ok(())
     }
 
@@ -222,6 +330,38 @@
         assert!(ledger.records(3).unwrap().iter().all(|r| r.what == "planned"));
     }
 
+    /// Guards against a promise, or what was taken up, that a restart forgets, and against decrees that pile up.
+    #[test]
+    fn a_members_memory_outlives_a_restart_and_old_decrees_go() {
+        use wrenfork_roster::decree::Policy;
+        use wrenfork_roster::seats::{Kind as Of, Roster, Seat};
+        let folder = tempfile::tempdir().unwrap();
+        let seat = Seat { name: "a".into(), folder: 7, kind: Of::Ingress, votes: true };
+        let roster = Roster::new(1, 1_500, vec![seat]).unwrap();
+        let states = [("a".to_string(), Arc::new(state("1")))].into();
+        let mut decree = Arc::new(Decree::new(1, 1, Digest::default(), "ann", roster, Policy::of(&states)));
+        let mut ledger = Ledger::open(Some(folder.path()), || Memory::first(1, state("1"))).unwrap();
+        assert_eq!(ledger.member(), Ok(None));
+        let mut member = Member::fresh("a", 7);
+        for n in 2..6 {
+            let next = Arc::new(decree.nothing());
+            let ballot = Ballot { round: n, by: 3 };
+            let accepted = Some((ballot, next.clone()));
+            member = Member { decree: Some(decree), accepted, promised: ballot, writes: n, ..member };
+            ledger.keep_member(&member, None, None).unwrap();
+            decree = next;
+        }
+        let own = Memory::first(4, state("4"));
+        ledger.keep_member(&member, Some(&own), None).unwrap();
+        ledger.close();
+        drop(ledger);
+        let ledger = Ledger::open(Some(folder.path()), || unreachable!("it is kept")).unwrap();
+        assert_eq!(ledger.member(), Ok(Some(member)));
+        assert_eq!(ledger.memory(), &own);
+        let names = ledger.store.as_ref().unwrap().names(Kind::Control).unwrap();
+        assert_eq!(names.iter().filter(|n| n.starts_with(DECREE)).count(), 2);
+    }
+
     #[test]
     fn without_a_folder_the_last_ones_are_kept_in_memory() {
         let mut ledger = Ledger::open(None, || Memory::first(1, state("1"))).unwrap();
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -5,12 +5,20 @@
 //!
 //! What an ask wants remembered is on the disk before it is carried out, and carried out before it is answered.
 
+//!
+//! Where ingresses belong to a group ([`group`]), what is decided comes from `wrenfork-roster` instead, by the same socket.
+
 pub mod client;
+pub mod clock;
+pub mod drive;
 pub mod fault;
+pub mod group;
 pub mod ledger;
+mod links;
 pub mod socket;
 
 use fault::Faults;
+use group::{Driver, Gate, Membership, Shared};
 use ledger::Ledger;
 use socket::Socket;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -22,8 +30,11 @@
 use wrenfork_control::participant::{Participant, Step};
 use wrenfork_control::protocol::{self, Ask, Record, Say, Stand};
 use wrenfork_control::state::State;
+use wrenfork_roster::acceptor::{Acceptor, Memory as Member, Step as Turn};
+use wrenfork_roster::protocol as group_protocol;
+use wrenfork_roster::seats::Kind;
 
-/// Connections that are served at once; others are told to come again.
+/// Connections that are served at once, besides one for each other member of the group; others are told to come again.
 const MOST_CONNECTIONS: usize = 8;
 /// How long a connection may say nothing, or read nothing.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -56,6 +67,9 @@
 struct Inner<E> {
     name: String,
     participant: Participant,
+    /// As a member of a group.
+    group: Option<Acceptor>,
+    shared: Option<Arc<Shared>>,
     ledger: Ledger,
     enforcer: E,
     faults: Faults,
@@ -66,6 +80,7 @@
 /// The control side of an ingress.
 pub struct Keeper<E> {
     inner: Arc<Mutex<Inner<E>>>,
+    shared: Option<Arc<Shared>>,
     socket: Socket,
 }
 
@@ -74,28 +89,56 @@
 }
 
 impl<E: Enforcer> Keeper<E> {
-    /// Serves the socket from now on, for an ingress of that name; `most` bounds a message in bytes.
+    /// Serves the socket from now on, for an ingress of that name; `most` bounds a message in bytes. With a membership it
+    /// belongs to a group.
     ///
     /// # Errors
     ///
-    /// Where a thread can't be started.
+    /// Where a thread can't be started, or what must be remembered can't be kept.
     pub fn start(
         name: &str,
         (listener, socket): (UnixListener, Socket),
-        ledger: Ledger,
+        mut ledger: Ledger,
         enforcer: E,
         most: usize,
+        membership: Option<Membership>,
     ) -> Result<Keeper<E>, String> {
+        let member = membership.as_ref().map(|m| join(name, &mut ledger, m, &enforcer)).transpose()?;
+        let (group, begun) = match member {
+            Some((acceptor, shared, woken)) => (Some(acceptor), Some((shared, woken))),
+            None => (None, None),
+        };
+        let shared = begun.as_ref().map(|b| b.0.clone());
         let participant = Participant::new(name, ledger.memory().clone());
-        let inner = Inner { name: name.into(), participant, ledger, enforcer, faults: Faults::told(), most };
+        let faults = Faults::told();
+        let inner = Inner {
+            name: name.into(),
+            participant,
+            group,
+            shared: shared.clone(),
+            ledger,
+            enforcer,
+            faults,
+            most,
+        };
         let inner = Arc::new(Mutex::new(inner));
-        let serving = inner.clone();
+        let most_connections = MOST_CONNECTIONS + membership.as_ref().map_or(0, |m| m.links.len());
+        if let (Some((shared, woken)), Some(membership)) = (begun, membership) {
+            let driver = Driver { name: name.into(), membership, shared, woken, inner: inner.clone(), most };
+            let thread = std::thread::Builder::new().name("group".into()).stack_size(STACK);
+            let run = move || {
+                let_others_first();
+                driver.run();
+            };
+            thread.spawn(run).map_err(|e| format!("control: no thread: {e}"))?;
+        }
+        let (serving, sharing) = (inner.clone(), shared.clone());
         let accept = move || {
             let_others_first();
             let open = Arc::new(AtomicUsize::new(0));
             for stream in listener.incoming().flatten() {
-                let (inner, count) = (serving.clone(), open.clone());
-                if count.fetch_add(1, Ordering::SeqCst) >= MOST_CONNECTIONS {
+                let (inner, shared, count) = (serving.clone(), sharing.clone(), open.clone());
+                if count.fetch_add(1, Ordering::SeqCst) >= most_connections {
                     count.fetch_sub(1, Ordering::SeqCst);
                     let why = "too many control connections: try again".to_string();
                     let _ = (&stream).write_all(protocol::line(&Say::No { why }).as_bytes());
@@ -104,7 +147,7 @@
                 let serve = move || {
                     let_others_first();
                     // A connection that breaks is its peer's to mend.
-                    let _ = Self::serve(&inner, &stream);
+                    let _ = Self::serve(&inner, shared.as_deref(), &stream);
                     count.fetch_sub(1, Ordering::SeqCst);
                 };
                 let thread = std::thread::Builder::new().name("control".into()).stack_size(STACK);
@@ -115,10 +158,15 @@
         };
         let thread = std::thread::Builder::new().name("control".into()).stack_size(STACK);
         thread.spawn(accept).map_err(|e| format!("control: no thread: {e}"))?;
-        Ok(Keeper { inner, socket })
+        Ok(Keeper { inner, shared, socket })
     }
 
-    fn serve(inner: &Mutex<Inner<E>>, stream: &UnixStream) -> std::io::Result<()> {
+    /// The deadline for letting requests in, where it belongs to a group.
+    pub fn gate(&self) -> Option<Gate> {
+        self.shared.as_ref().map(|s| s.gate())
+    }
+
+    fn serve(inner: &Mutex<Inner<E>>, shared: Option<&Shared>, stream: &UnixStream) -> std::io::Result<()> {
         stream.set_read_timeout(Some(PATIENCE))?;
         stream.set_write_timeout(Some(PATIENCE))?;
         let most = inner.lock().unwrap_or_else(PoisonError::into_inner).most;
@@ -138,6 +186,12 @@
             if !line.ends_with('\n') {
                 return Ok(()); // cut off: nobody waits for an answer
             }
+            if group_protocol::is(&line) {
+                let ask = protocol::read::<group_protocol::Ask>(&line);
+                drop(line);
+                Self::serve_group(inner, shared, ask, stream)?;
+                continue;
+            }
             let ask = protocol::read::<Ask>(&line);
             drop(line);
             let (say, faults, point) = {
@@ -156,8 +210,41 @@
         }
     }
 
+    /// A renewal waits for nothing that another ask does: neither for a disk nor for a large change that is read.
+    fn serve_group(
+        inner: &Mutex<Inner<E>>,
+        shared: Option<&Shared>,
+        ask: Result<group_protocol::Ask, String>,
+        mut stream: &UnixStream,
+    ) -> std::io::Result<()> {
+        let (say, faults, point) = match (ask, shared) {
+            (Ok(ask @ group_protocol::Ask::Renew { .. }), Some(shared)) => {
+                return stream.write_all(protocol::line(&shared.renew(&ask)).as_bytes());
+            }
+            (Ok(ask), Some(_)) => {
+                let point = point_of_group(&ask);
+                let mut inner = inner.lock().unwrap_or_else(PoisonError::into_inner);
+                inner.faults.pass(point, "heard");
+                let say = inner.take_group(ask, point);
+                inner.faults.pass(point, "unanswered");
+                (say, inner.faults.clone(), point)
+            }
+            (Ok(_), None) => {
+                let why = "this ingress belongs to no group".to_string();
+                (group_protocol::Say::No { why }, Faults::default(), "other")
+            }
+            (Err(why), _) => (group_protocol::Say::No { why }, Faults::default(), "other"),
+        };
+        stream.write_all(protocol::line(&say).as_bytes())?;
+        faults.pass(point, "answered");
+        Ok(())
+    }
+
     /// Ends: what comes from now on is refused, the store is closed, and the socket is gone if it is still this one's.
     pub fn close(self) {
+        if let Some(shared) = &self.shared {
+            shared.close();
+        }
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.ledger.close();
         self.socket.remove();
@@ -179,7 +266,149 @@
     }
 }
 
+/// The name of an ask of a group's member among the fault points.
+fn point_of_group(ask: &group_protocol::Ask) -> &'static str {
+    match ask {
+        group_protocol::Ask::Promise { .. } => "promise",
+        group_protocol::Ask::Accept { .. } => "accept",
+        group_protocol::Ask::Decided { .. } => "decided",
+        _ => "other",
+    }
+}
+
+/// What a member begins with: its memory, if the folder is its own, and that it has begun another life, written down.
+fn join<E: Enforcer>(
+    name: &str,
+    ledger: &mut Ledger,
+    membership: &Membership,
+    enforcer: &E,
+) -> Result<(Acceptor, Arc<Shared>, UnixStream), String> {
+    let log = |why: String| enforcer.log(&Record { what: "group".into(), why, ..Record::default() });
+    let memory = match ledger.member()? {
+        Some(memory) if memory.name == name => memory,
+        Some(other) => {
+            log(format!("the folder is {}'s: it is used as an empty one, without a vote", other.name));
+            Member::fresh(name, group::drawn())
+        }
+        None => Member::fresh(name, group::drawn()),
+    };
+    let memory = Member { writes: memory.writes + 1, ..memory };
+    ledger.keep_member(&memory, None, None).map_err(|why| format!("state: {why}"))?;
+    let serves = membership.charter.seat(name).is_none_or(|s| s.kind == Kind::Ingress);
+    let own = ledger.memory();
+    let own = serves.then(|| (own.enforced.number, own.state.clone()));
+    let (shared, woken) = Shared::new(name, &memory, membership)?;
+    Ok((Acceptor::new(memory, own), shared, woken))
+}
+
 impl<E: Enforcer> Inner<E> {
+    /// As a member of a group, takes a message that is no renewal.
+    pub(crate) fn take_group(
+        &mut self,
+        ask: group_protocol::Ask,
+        point: &'static str,
+    ) -> group_protocol::Say {
+        use group_protocol::{Ask, Say};
+        let (Some(acceptor), Some(shared)) = (&mut self.group, &self.shared) else {
+            return Say::No { why: "this ingress belongs to no group".into() };
+        };
+        let now = clock::now();
+        let mut record = None;
+        {
+            let mut standing = shared.standing();
+            let m = acceptor.memory();
+            match &ask {
+                // From here on nobody who has not taken it up is told that the one before stands; if it is not taken up
+                // after all, `follow` takes that back.
+                Ask::Accept { decree, .. } if decree.number == m.number() + 1 => {
+                    standing.bar(&decree.digest, now);
+                    record = Some(("promised", decree.clone()));
+                }
+                Ask::Still { ballot } if m.accepted.as_ref().is_some_and(|a| a.0 == *ballot) => {
+                    standing.still(now);
+                }
+                _ => {}
+            }
+        }
+        let sure = shared.standing().sure();
+        let enforcer = &self.enforcer;
+        let (memory, then, switch) = match acceptor.take(ask, sure, |state| enforcer.check(state)) {
+            Turn::Say(say) => {
+                shared.follow(acceptor.memory());
+                return match say {
+                    Say::Stands(mut stand) => {
+                        stand.lease_ms = shared.lease_ms();
+                        Say::Stands(stand)
+                    }
+                    Say::No { why } => {
+                        let record =
+                            Record { at: seconds(), what: "refused".into(), why, ..Record::default() };
+                        self.enforcer.log(&record);
+                        let _ = self.ledger.note(&record);
+                        Say::No { why: record.why }
+                    }
+                    say => say,
+                };
+            }
+            Turn::Write { memory, then, switch } => (memory, then, switch),
+        };
+        let own = memory.decree.as_ref().filter(|_| switch).and_then(|d| d.at(&self.name));
+        let own = own.filter(|(generation, _)| *generation != self.participant.memory().enforced);
+        let own = own.map(|(enforced, state)| {
+            let was = self.participant.memory();
+            wrenfork_control::participant::Memory {
+                enforced,
+                state: Arc::new(state),
+                promise: None,
+                ..was.clone()
+            }
+        });
+        if let Some(decree) = memory.decree.as_ref().filter(|_| switch) {
+            record = Some(("made", decree.clone()));
+        }
+        let record = record.map(|(what, decree)| Record {
+            at: seconds(),
+            what: what.into(),
+            author: decree.author.clone(),
+            change: decree.change.clone(),
+            generation: decree.generation,
+            why: String::new(),
+        });
+        self.faults.pass(point, "unwritten");
+        if let Err(why) = self.ledger.keep_member(&memory, own.as_ref(), record.as_ref()) {
+            shared.follow(acceptor.memory());
+            return Say::Unable { why: format!("{} can't keep it: {why}", self.name) };
+        }
+        self.faults.pass(point, "written");
+        acceptor.written(*memory);
+        if let Some(own) = own {
+            let state = own.state.clone();
+            self.participant.written(own);
+            if let Err(why) = self.enforcer.switch(&state) {
+                return Say::No { why }; // the ingress ends; it will start with what is written
+            }
+            self.faults.pass(point, "switched");
+        }
+        shared.follow(acceptor.memory());
+        if let Some(record) = record {
+            self.enforcer.log(&record);
+        }
+        then
+    }
+
+    /// The folder turned out to be an older copy: what it knows may be gone on with, its votes may not.
+    pub(crate) fn shed(&mut self) {
+        let (Some(acceptor), Some(shared)) = (&mut self.group, &self.shared) else { return };
+        let memory = acceptor.memory().shed(group::drawn());
+        let why = "the folder is an older copy of what others have seen: it has no vote; wrenctl roster replace gives it one";
+        let record = Record { at: seconds(), what: "group".into(), why: why.into(), ..Record::default() };
+        if self.ledger.keep_member(&memory, None, Some(&record)).is_ok() {
+            acceptor.written(memory);
+            shared.follow(acceptor.memory());
+            self.enforcer.log(&record);
+        }
+    }
+
     fn take(&mut self, ask: Ask, point: &'static str) -> Say {
         let no = |why: String| Say::No { why };
         let record = match ask {
@@ -201,6 +430,12 @@
                 self.enforcer.log(&record);
                 return self.ledger.note(&record).map_or_else(no, |()| Say::Noted);
             }
+            Ask::Prepare { .. } | Ask::Fence { .. } | Ask::Decide { .. } if self.group.is_some() => {
+                return no(
+                    "it belongs to a group, which decides its changes: use a wrenctl that knows rosters"
+                        .into(),
+                );
+            }
             ref other => self.record(other),
         };
         let enforcer = &self.enforcer;
--- a/crates/roster/src/acceptor.rs
+++ b/crates/roster/src/acceptor.rs
@@ -201,7 +201,7 @@
             if decree.generation < stands.generation {
                 return Err(format!("generation {} was enforced already", decree.generation));
             }
-            if decree.generation == stands.generation && decree.policy.common != stands.policy.common {
+            if decree.generation == stands.generation && !decree.enforces_as(stands) {
                 return Err(format!("two policies under generation {}", decree.generation));
             }
             if !stands.roster.overlaps(&decree.roster) {
--- a/crates/roster/src/decree.rs
+++ b/crates/roster/src/decree.rs
@@ -1,6 +1,6 @@
 //! What stands in a group.
 
-use crate::seats::{Kind, Roster};
+use crate::seats::Roster;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -119,20 +119,34 @@
         Decree { number, change, author: String::new(), ..self.clone() }.sealed()
     }
 
-    /// The next decree, with another roster; a member that is new enforces what stands for `like`.
-    pub fn seated(&self, author: &str, roster: Roster, like: &str) -> Decree {
-        let mut policy = Policy::clone(&self.policy);
-        for seat in roster.seats.iter().filter(|s| s.kind == Kind::Ingress) {
-            if !policy.own.contains_key(&seat.name) {
-                let own = policy.own.get(like).cloned().unwrap_or_default();
-                policy.own.insert(seat.name.clone(), own);
+    /// The next decree, with another roster, and what members that are new enforce; all others go on with what they have.
+    pub fn seated(&self, author: &str, roster: Roster, new: BTreeMap<String, Arc<State>>) -> Decree {
+        let stays = |name: &&String| roster.seat(name).is_some() && !new.contains_key(*name);
+        let stay = self.policy.own.keys().filter(stays);
+        let stay = stay.filter_map(|name| Some((name.clone(), Arc::new(self.policy.at(name)?))));
+        let policy = match new.is_empty() {
+            // Nobody's part has to be found out anew.
+            true => {
+                let mut policy = Policy::clone(&self.policy);
+                policy.own.retain(|name, _| roster.seat(name).is_some());
+                policy
             }
-        }
-        policy.own.retain(|name, _| roster.seat(name).is_some());
+            false => Policy::of(&stay.chain(new.clone()).collect()),
+        };
         let (number, change, policy) = (self.number + 1, Digest::default(), Arc::new(policy));
         Decree { number, change, author: author.into(), roster, policy, ..self.clone() }.sealed()
     }
 
+    /// Whether whoever is a member under both enforces the same under both.
+    pub fn enforces_as(&self, other: &Decree) -> bool {
+        let (a, b) = (&self.policy, &other.policy);
+        let same = |name: &String| match a.common == b.common {
+            true => a.own.get(name) == b.own.get(name),
+            false => a.at(name) == b.at(name),
+        };
+        a.own.keys().filter(|name| b.own.contains_key(*name)).all(same)
+    }
+
     /// Whether it is what it says that it is.
     ///
     /// # Errors
@@ -161,6 +175,31 @@
         Arc::new(State(pairs.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect()))
     }
 
+    #[test]
+    fn a_new_member_brings_its_own_part_and_changes_nobody_elses() {
+        let all = |names: &[&str]| -> BTreeMap<String, Arc<State>> {
+            names.iter().map(|n| (n.to_string(), state(&[("k", "1"), ("at", n)]))).collect()
+        };
+        let seat = |name: &str| crate::seats::Seat {
+            name: name.into(),
+            folder: 1,
+            kind: crate::seats::Kind::Ingress,
+            votes: true,
+        };
+        let roster = |names: &[&str]| Roster::new(1, 1_500, names.iter().map(|n| seat(n)).collect()).unwrap();
+        // One member alone has everything in common with itself.
+        let one = Decree::new(1, 4, Digest::default(), "", roster(&["a"]), Policy::of(&all(&["a"])));
+        let two = one.seated("ann", roster(&["a", "b"]), all(&["b"]));
+        assert_eq!((two.number, two.generation, two.check()), (2, 4, Ok(())));
+        assert!(two.enforces_as(&one) && one.enforces_as(&two));
+        assert_eq!(two.at("b").unwrap().1, *state(&[("k", "1"), ("at", "b")]));
+        let without = two.seated("ann", roster(&["b"]), BTreeMap::new());
+        assert!(without.at("a").is_none() && without.enforces_as(&two));
+        assert!(!Decree::new(3, 4, Digest::default(), "", roster(&["b"]), Policy::of(&all(&["b", "c"])))
+            .seated("", roster(&["b"]), [("b".to_string(), state(&[("k", "2")]))].into())
+            .enforces_as(&two));
+    }
+
     #[test]
     fn each_member_gets_back_what_it_was_to_enforce_and_what_is_common_stands_once() {
         let states: BTreeMap<String, Arc<State>> = [
--- a/crates/roster/src/proposer.rs
+++ b/crates/roster/src/proposer.rs
@@ -221,7 +221,7 @@
 
     /// When to ask again, at the latest, if nothing is heard.
     pub fn next(&self, now: Duration) -> Duration {
-        let due = self.peers.iter().filter(|p| !p.asked && !(p.answered && self.phase != Phase::Accepting));
+        let due = self.peers.iter().filter(|p| !(p.asked || p.answered && self.phase != Phase::Accepting));
         let due = due.map(|p| p.not_before).chain(self.ready_at());
         due.min().map_or(self.base.roster.lease(), |at| at.saturating_sub(now))
     }
--- a/crates/roster/src/protocol.rs
+++ b/crates/roster/src/protocol.rs
@@ -204,3 +204,41 @@
     /// Why it does not vote, where it does not.
     pub unsure: Option<String>,
 }
+
+/// Whether a line is one of these asks: the key that tells them stands first, behind the version.
+pub fn is(line: &str) -> bool {
+    line.as_bytes().chunks(32).next().is_some_and(|head| head.windows(8).any(|w| w == b"\"group\":"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use wrenfork_control::protocol::{self, read};
+
+    #[test]
+    fn asks_of_a_group_are_told_from_the_others_and_survive_the_way() {
+        let renew = Ask::Renew {
+            from: "a".into(),
+            folder: 3,
+            age: Age { writes: 1, life: 2 },
+            number: 9,
+            ready: None,
+        };
+        let promise = Ask::Promise { number: 2, ballot: Ballot { round: u64::MAX, by: 7 }, trial: None };
+        let decree = Arc::new(Decree::default());
+        let accept = Ask::Accept { ballot: Ballot::default(), decree: decree.clone() };
+        let decided = Ask::Decided { number: 1, digest: Digest::default(), decree: Some(decree) };
+        for ask in [renew, promise, accept, decided, Ask::Learn, Ask::Stand] {
+            let line = protocol::line(&ask);
+            assert!(is(&line), "{line}");
+            assert_eq!(read::<Ask>(&line), Ok(ask));
+        }
+        assert!(!is(&protocol::line(&protocol::Ask::Status)) && !is("") && !is("{"));
+        for say in [Say::Want, Say::Stands(Box::default()), Say::Learnt { decree: None }] {
+            assert_eq!(read::<Say>(&protocol::line(&say)), Ok(say));
+        }
+        assert!(Age { writes: 4, life: 1 }.is_older_than(&Age { writes: 5, life: 1 }));
+        assert!(Age { writes: 5, life: 1 }.is_older_than(&Age { writes: 5, life: 2 }));
+        assert!(!Age { writes: 6, life: 1 }.is_older_than(&Age { writes: 5, life: 2 }));
+    }
+}
