wrenctl decides for groups: plan and apply with members away, status, roster, witness

With a roster, a change is decided by a majority and whoever is missing is shut out by its lease.

Files without a roster take the road that they took.

--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -3,18 +3,23 @@
 use super::drive::{self, drive, End};
 use super::folder::{self, Ingress};
 use super::{failed, micros, plan, show, span, UNFINISHED};
+use crate::group::decide::{self, decide, Outcome, Wanted};
+use crate::group::look::look;
+use crate::group::{sockets as members, Sockets};
 use crate::style;
 use clap::Args;
 use std::collections::BTreeMap;
 use std::io::{BufRead, IsTerminal};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 use wrenfork_config::enforced::Pairs;
 use wrenfork_control::applier::Applier;
 use wrenfork_control::figures::Figures;
-use wrenfork_control::plan::Plan;
-use wrenfork_control::state::Digest;
+use wrenfork_control::plan::{Plan, Target};
+use wrenfork_control::state::{Digest, Generation, State};
+use wrenfork_roster::decree::{Decree, Policy};
 
 #[derive(Args)]
 pub struct Options {
@@ -62,8 +67,80 @@
     plan.targets.iter().map(|t| (t.ingress.clone(), PathBuf::from(&t.control))).collect()
 }
 
-/// Whether every ingress still enforces what the plan was made from.
-fn unmoved(plan: &Plan) -> Result<(), ExitCode> {
+/// Whether a target still enforces what the plan was made from.
+fn still(plan: &Plan, target: &Target, enforces: &Generation) -> Result<(), String> {
+    if *enforces == target.base {
+        return Ok(());
+    }
+    if enforces.number == plan.generation && enforces.digest == target.wanted {
+        return Err("this plan was applied here already".into());
+    }
+    Err(format!(
+        "it has moved: it enforces generation {} ({}), and the plan was made for {} ({}): make it anew",
+        enforces.number,
+        enforces.digest.short(),
+        target.base.number,
+        target.base.digest.short()
+    ))
+}
+
+/// Whether every ingress still enforces what the plan was made from; who is away of its groups.
+fn unmoved(plan: &Plan) -> Result<BTreeMap<String, String>, ExitCode> {
+    let (groups, rest) = parts(plan);
+    let (mut away, mut wrong) = (BTreeMap::new(), false);
+    for (at, part) in &groups {
+        let stands = look(&members(at)).and_then(|seen| Ok((seen.known()?, seen.away)));
+        match stands {
+            Ok((decree, gone)) => {
+                away.extend(gone.into_iter().filter(|(name, _)| decree.roster.seat(name).is_some()));
+                if let Err(why) = follows(part, &decree) {
+                    failed(why);
+                    wrong = true;
+                }
+            }
+            Err(why) => {
+                failed(why);
+                wrong = true;
+            }
+        }
+    }
+    let rest = alone_unmoved(&rest);
+    if wrong {
+        return Err(ExitCode::FAILURE);
+    }
+    rest.map(|()| away)
+}
+
+/// A plan's parts: that of each group, with its members' sockets, and that of ingresses which decide each for itself.
+fn parts(plan: &Plan) -> (Vec<(&BTreeMap<String, String>, Plan)>, Plan) {
+    let of = |group: &BTreeMap<String, String>| plan.only(|t| group.contains_key(&t.ingress));
+    let groups = plan.groups.iter().map(|group| (group, of(group))).collect();
+    (groups, plan.only(|t| plan.groups.iter().all(|g| !g.contains_key(&t.ingress))))
+}
+
+/// The decree that a group's part of a plan wants behind the one that stands. A member that it says nothing of goes on with
+/// what it has.
+fn follows(part: &Plan, stands: &Decree) -> Result<Decree, String> {
+    let mut states: BTreeMap<String, Arc<State>> = BTreeMap::new();
+    for target in &part.targets {
+        let name = &target.ingress;
+        let (enforces, _) = stands
+            .at(name)
+            .ok_or_else(|| format!("{name}: it is not in the roster any more: make the plan anew"))?;
+        still(part, target, &enforces).map_err(|why| format!("{name}: {why}"))?;
+        let wanted = part.states.get(&target.wanted).ok_or("the plan has no such state")?;
+        states.insert(name.clone(), wanted.clone());
+    }
+    for seat in &stands.roster.seats {
+        if let (false, Some((_, state))) = (states.contains_key(&seat.name), stands.at(&seat.name)) {
+            states.insert(seat.name.clone(), Arc::new(state));
+        }
+    }
+    let (number, policy) = (stands.number + 1, Policy::of(&states));
+    Ok(Decree::new(number, part.generation, part.id(), &part.author, stands.roster.clone(), policy))
+}
+
+fn alone_unmoved(plan: &Plan) -> Result<(), ExitCode> {
     let controls: Vec<PathBuf> = sockets(plan).into_values().collect();
     let by_path: BTreeMap<&Path, Result<folder::Status, String>> = controls
         .iter()
@@ -74,17 +151,10 @@
     for target in &plan.targets {
         let status = by_path.get(Path::new(&target.control));
         let why = match status {
-            Some(Ok(s)) if s.generation == target.base => continue,
-            Some(Ok(s)) if s.generation.number == plan.generation && s.generation.digest == target.wanted => {
-                "this plan was applied here already".to_string()
-            }
-            Some(Ok(s)) => format!(
-                "it has moved: it enforces generation {} ({}), and the plan was made for {} ({}): make it anew",
-                s.generation.number,
-                s.generation.digest.short(),
-                target.base.number,
-                target.base.digest.short()
-            ),
+            Some(Ok(s)) => match still(plan, target, &s.generation) {
+                Ok(()) => continue,
+                Err(why) => why,
+            },
             Some(Err(why)) => format!("{why}; --leave-out {} applies it to the others", target.ingress),
             None => "nothing says where its socket is".to_string(),
         };
@@ -100,6 +170,34 @@
 
 /// Makes a change, and tells how it ended.
 pub fn make(plan: &Plan, patience: Duration) -> ExitCode {
+    let (groups, rest) = parts(plan);
+    let mut made = Vec::new();
+    for (at, part) in groups {
+        let outcome = decide(&members(at), &Wanted::Decree(&|stands| follows(&part, stands)), patience);
+        decide::tell(&format!("change {}", part.id().short()), &outcome);
+        let code = match outcome {
+            Outcome::Made(..) => {
+                made.push(part);
+                continue;
+            }
+            Outcome::Refused(_) => ExitCode::FAILURE,
+            Outcome::Unfinished => ExitCode::from(UNFINISHED),
+        };
+        if !made.is_empty() {
+            let done: Vec<&str> =
+                made.iter().flat_map(|p| &p.targets).map(|t| t.ingress.as_str()).collect();
+            failed(format!("it was made at {} before: plan again for the rest", done.join(", ")));
+        }
+        return code;
+    }
+    if rest.targets.is_empty() {
+        return ExitCode::SUCCESS;
+    }
+    alone(&rest, patience)
+}
+
+/// Makes a change at ingresses that decide each for itself.
+fn alone(plan: &Plan, patience: Duration) -> ExitCode {
     let mut applier = Applier::begin(plan, micros());
     let end = drive(&mut applier, &sockets(plan), patience);
     drive::tell(&end, &applier);
@@ -130,17 +228,21 @@
         if plan.targets.iter().all(|t| t.ingress != *name) {
             return Err(failed(format!("the plan has no ingress {name} to leave out")));
         }
+        if plan.groups.iter().any(|g| g.contains_key(name)) {
+            return Err(failed(format!("{name} {}", plan::IN_A_GROUP)));
+        }
     }
     let plan = if options.leave_out.is_empty() {
         plan
     } else {
         plan.only(|t| !options.leave_out.contains(&t.ingress))
     };
-    unmoved(&plan)?;
+    let away = unmoved(&plan)?;
     show::text(&plan);
+    show::away(&away);
     meant(options.yes).map_err(failed)?;
     match options.canary {
-        Some(first) if first < plan.targets.len() && first > 0 => canary(&plan, first, options),
+        Some(first) if first < plan.targets.len() && first > 0 => canary(&plan, first, &away, options),
         _ => Ok(make(&plan, options.patience)),
     }
 }
@@ -164,8 +266,19 @@
 }
 
 /// Makes a change at the first ingresses, watches them, and makes it at the others if these do no worse; else takes it back.
-fn canary(plan: &Plan, first: usize, options: &Options) -> Result<ExitCode, ExitCode> {
-    let names: Vec<&str> = plan.targets.iter().take(first).map(|t| t.ingress.as_str()).collect();
+fn canary(
+    plan: &Plan,
+    first: usize,
+    away: &BTreeMap<String, String>,
+    options: &Options,
+) -> Result<ExitCode, ExitCode> {
+    let names: Vec<&str> = plan
+        .targets
+        .iter()
+        .filter(|t| !away.contains_key(&t.ingress))
+        .take(first)
+        .map(|t| t.ingress.as_str())
+        .collect();
     let part = plan.only(|t| names.contains(&t.ingress.as_str()));
     let rest = plan.only(|t| !names.contains(&t.ingress.as_str()));
     eprintln!("watching {} for {:?} before the change", names.join(", "), options.watch);
@@ -196,34 +309,61 @@
         let taken = make(&back, options.patience);
         return Ok(if taken == ExitCode::SUCCESS { ExitCode::FAILURE } else { taken });
     }
-    Ok(make(&rest, options.patience))
+    Ok(make(&behind(&part, rest), options.patience))
+}
+
+/// The rest of a plan once its first part is made. A group numbers what all of it enforces: its members that were not among
+/// the first enforce the same as before, under the first part's number.
+fn behind(part: &Plan, mut rest: Plan) -> Plan {
+    let grouped = |name: &str| part.groups.iter().any(|g| g.contains_key(name));
+    let any = rest.targets.iter().any(|t| grouped(&t.ingress));
+    for target in rest.targets.iter_mut().filter(|t| grouped(&t.ingress)) {
+        target.base.number = part.generation;
+    }
+    rest.generation += u64::from(any);
+    rest
 }
 
 /// The plan that undoes one that was just made.
 fn back(plan: &Plan) -> Result<Plan, ExitCode> {
     let has = folder::status(plan.targets.iter().map(|t| Path::new(&t.control)));
     let has = has.into_iter().collect::<Result<Vec<_>, _>>().map_err(failed)?;
-    let numbers = plan.targets.iter().map(|t| t.base.number);
     let ingresses = plan.targets.iter().map(|t| Ingress {
         name: t.ingress.clone(),
         control: PathBuf::from(&t.control),
         wanted: Pairs::new().into(),
     });
-    let was = folder::recall(ingresses.collect(), numbers)?;
-    let made = plan::make((&plan.author, micros(), plan.good_for), was, has)?;
+    let grouped = |name: &str| plan.groups.iter().any(|g| g.contains_key(name));
+    let numbers = |n: usize| plan.targets.get(n).map_or(0, |t| t.base.number);
+    let was = folder::recall(ingresses.collect(), &has, &BTreeMap::new(), grouped, numbers)?;
+    let made = plan::make((&plan.author, micros(), plan.good_for), was, has, plan.groups.clone())?;
     made.ok_or_else(|| failed("there is nothing to take back"))
 }
 
 /// Ends what was begun. The ingresses are those of a plan, or of a folder's files.
 fn resume(from: &Path, patience: Duration) -> Result<ExitCode, ExitCode> {
     let mut changes: BTreeMap<Digest, Vec<String>> = BTreeMap::new();
-    let at: BTreeMap<String, PathBuf> = if from.is_dir() {
-        folder::ingresses(from)?.into_iter().map(|i| (i.name, i.control)).collect()
+    let (mut at, groups): (BTreeMap<String, PathBuf>, Vec<Sockets>) = if from.is_dir() {
+        let files = folder::read(from)?;
+        let groups = files.groups.values().map(|g| g.links("")).collect();
+        (files.ingresses.into_iter().map(|i| (i.name, i.control)).collect(), groups)
     } else {
         let text = std::fs::read_to_string(from).map_err(|e| failed(format!("{}: {e}", from.display())))?;
         let plan = Plan::read(&text).map_err(|e| failed(format!("{}: {e}", from.display())))?;
-        sockets(&plan)
+        (sockets(&plan), plan.groups.iter().map(members).collect())
     };
+    at.retain(|name, _| groups.iter().all(|g| !g.contains_key(name)));
+    let mut worst = ExitCode::SUCCESS;
+    for group in &groups {
+        let outcome = decide(group, &Wanted::End, patience);
+        decide::tell("nothing is left undecided", &outcome);
+        if !matches!(outcome, Outcome::Made(..)) {
+            worst = ExitCode::from(UNFINISHED);
+        }
+    }
+    if at.is_empty() {
+        return Ok(worst);
+    }
     for ((name, _), status) in at.iter().zip(folder::status(at.values().map(PathBuf::as_path))) {
         match status {
             Ok(status) => {
@@ -239,9 +379,8 @@
             "{} no ingress that answers has promised a change",
             style::good("nothing to resume:")
         );
-        return Ok(ExitCode::SUCCESS);
+        return Ok(worst);
     }
-    let mut worst = ExitCode::SUCCESS;
     for (change, members) in changes {
         let mut applier = Applier::recover(change, members, micros());
         let end = drive(&mut applier, &at, patience);
--- a/crates/ctl/src/change/folder.rs
+++ b/crates/ctl/src/change/folder.rs
@@ -2,12 +2,13 @@
 
 use super::drive;
 use crate::config::print;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use wrenfork_config::enforced::{self, Pairs};
+use wrenfork_config::group::{self, Group};
 use wrenfork_config::set::Set;
 use wrenfork_control::figures::Figures;
 use wrenfork_control::participant::Promise;
@@ -36,7 +37,23 @@
     pub wanted: Arc<Pairs>,
 }
 
+/// What a folder's files describe.
+pub struct Files {
+    /// The ingresses with a control socket, by name.
+    pub ingresses: Vec<Ingress>,
+    /// The groups that decide by a majority, by their application's name.
+    pub groups: BTreeMap<String, Group>,
+}
+
+impl Files {
+    /// The group that an ingress belongs to, if any.
+    pub fn group_of(&self, ingress: &str) -> Option<&Group> {
+        self.groups.values().find(|g| g.members.iter().any(|m| m.name == ingress))
+    }
+}
+
 /// What an ingress says of itself.
+#[derive(Clone)]
 pub struct Status {
     pub generation: Generation,
     pub state: Arc<State>,
@@ -62,12 +79,12 @@
     Ok(files)
 }
 
-/// The ingresses that a folder's files describe, by name; those without a control socket are not among them.
+/// What a folder's files describe; ingresses without a control socket are not among them.
 ///
 /// # Errors
 ///
 /// With the exit code, where the files are refused or describe none; why has been told.
-pub fn ingresses(folder: &Path) -> Result<Vec<Ingress>, ExitCode> {
+pub fn read(folder: &Path) -> Result<Files, ExitCode> {
     let set = Set::read(files(folder).map_err(super::failed)?);
     if set.refused() {
         print::text(&set);
@@ -78,7 +95,11 @@
     };
     let fleet = set.fleet().map(|f| f.content);
     let (mut found, mut all) = (Vec::<Ingress>::new(), Vec::new());
+    let mut groups = BTreeMap::new();
     for app in set.applications() {
+        if let Some(group) = group::group(app.content) {
+            groups.insert(app.content.called().to_string(), group);
+        }
         for sidecar in &app.content.sidecars {
             let Some(control) = &sidecar.control else { continue };
             let name = &sidecar.name.value;
@@ -98,20 +119,63 @@
         )));
     }
     found.sort_by(|a, b| a.name.cmp(&b.name));
-    Ok(found)
+    Ok(Files { ingresses: found, groups })
+}
+
+/// Of what one enforces, the same for another: with the differences that there are between the two of them elsewhere.
+pub fn like(state: &Pairs, of: &Pairs, to: &Pairs) -> Pairs {
+    let mut made = state.clone();
+    made.retain(|key, _| !of.contains_key(key) || to.contains_key(key));
+    let differs = to.iter().filter(|(k, v)| of.get(*k) != Some(v));
+    made.extend(differs.map(|(k, v)| (k.clone(), v.clone())));
+    made
 }
 
-/// Ingresses that are to enforce again what each enforced under a number.
-pub fn recall(ingresses: Vec<Ingress>, numbers: impl Iterator<Item = u64>) -> Result<Vec<Ingress>, ExitCode> {
-    let asks =
-        ingresses.iter().zip(numbers).map(|(i, generation)| (i.control.clone(), Ask::Recall { generation }));
-    let answers = drive::ask_all(asks.collect(), PATIENCE);
-    let was = ingresses.into_iter().zip(answers).map(|(ingress, answer)| match answer {
-        Ok(Say::Was { state, .. }) => Ok(Ingress { wanted: Arc::new(state.0.clone()), ..ingress }),
-        Ok(Say::No { why }) | Err(why) => Err(super::failed(format!("{}: {why}", ingress.name))),
-        Ok(_) => Err(super::failed(format!("{}: it answers something else", ingress.name))),
+/// Ingresses that are to enforce again what each enforced under a number; `has` is what each enforces now. A member of a
+/// group that is away, or was when that was enforced, is to enforce what another member of its application did, with what
+/// is its own.
+///
+/// # Errors
+///
+/// With the exit code, where it is not known any more; that has been told.
+pub fn recall(
+    ingresses: Vec<Ingress>,
+    has: &[Status],
+    away: &BTreeMap<String, String>,
+    grouped: impl Fn(&str) -> bool,
+    numbers: impl Fn(usize) -> u64,
+) -> Result<Vec<Ingress>, ExitCode> {
+    let there = ingresses.iter().enumerate().filter(|(_, i)| !away.contains_key(&i.name));
+    let (places, asks): (Vec<usize>, Vec<_>) =
+        there.map(|(n, i)| (n, (i.control.clone(), Ask::Recall { generation: numbers(n) }))).unzip();
+    let answers = drive::ask_all(asks, PATIENCE);
+    let mut known: BTreeMap<usize, Arc<Pairs>> = BTreeMap::new();
+    let mut missing: BTreeMap<usize, String> = away
+        .iter()
+        .filter_map(|(name, why)| Some((ingresses.iter().position(|i| i.name == *name)?, why.clone())))
+        .collect();
+    for (n, answer) in places.into_iter().zip(answers) {
+        match answer {
+            Ok(Say::Was { state, .. }) => drop(known.insert(n, Arc::new(state.0.clone()))),
+            Ok(Say::No { why }) | Err(why) => drop(missing.insert(n, why)),
+            Ok(_) => drop(missing.insert(n, "it answers something else".into())),
+        }
+    }
+    let application = |n: usize| ingresses[n].name.split('/').next().unwrap_or("").to_string();
+    for (n, why) in missing {
+        let name = &ingresses[n].name;
+        let other = known.iter().find(|(other, _)| application(**other) == application(n));
+        let Some((other, state)) = other.filter(|_| grouped(name)) else {
+            return Err(super::failed(format!("{name}: {why}")));
+        };
+        let state = like(state, &has[*other].state.0, &has[n].state.0);
+        known.insert(n, Arc::new(state));
+    }
+    let was = ingresses.into_iter().enumerate().filter_map(|(n, ingress)| {
+        let wanted = known.remove(&n)?;
+        Some(Ingress { wanted, ..ingress })
     });
-    was.collect()
+    Ok(was.collect())
 }
 
 /// Asks ingresses, all at once, what they enforce.
--- a/crates/ctl/src/change/history.rs
+++ b/crates/ctl/src/change/history.rs
@@ -28,12 +28,17 @@
 }
 
 fn run(options: &Options) -> Result<ExitCode, ExitCode> {
-    let ingresses = folder::ingresses(&options.folder)?;
+    let files = folder::read(&options.folder)?;
+    let ingresses = &files.ingresses;
     let asks = ingresses.iter().map(|i| (i.control.clone(), Ask::History { most: options.most }));
     let answers = drive::ask_all(asks.collect(), Duration::from_secs(5));
     let (mut rows, mut code): (Vec<(String, Record)>, _) = (Vec::new(), ExitCode::SUCCESS);
     for (ingress, answer) in ingresses.iter().zip(answers) {
         match answer {
+            // The others have decided without it, and tell.
+            Err(why) if files.group_of(&ingress.name).is_some() => {
+                anstream::eprintln!("{} {}: {why}", style::doubtful("away:"), ingress.name);
+            }
             Ok(Say::Records { records }) => {
                 rows.extend(records.into_iter().map(|r| (ingress.name.clone(), r)))
             }
--- a/crates/ctl/src/change/mod.rs
+++ b/crates/ctl/src/change/mod.rs
@@ -15,11 +15,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A change that was begun and not ended.
-const UNFINISHED: u8 = 3;
+pub const UNFINISHED: u8 = 3;
 /// There is something to do.
 const CHANGES: u8 = 2;
 
-fn failed(why: impl std::fmt::Display) -> ExitCode {
+pub fn failed(why: impl std::fmt::Display) -> ExitCode {
     anstream::eprintln!("{} {why}", style::bad("error:"));
     ExitCode::FAILURE
 }
@@ -35,7 +35,7 @@
 }
 
 /// Who does this, unless it is said.
-fn author(said: Option<&str>) -> String {
+pub fn author(said: Option<&str>) -> String {
     let told = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     said.map(String::from).or_else(|| told("USER")).or_else(|| told("LOGNAME")).unwrap_or("unknown".into())
 }
--- a/crates/ctl/src/change/plan.rs
+++ b/crates/ctl/src/change/plan.rs
@@ -1,21 +1,25 @@
 //! `wrenctl plan`.
 
-use super::folder::{self, Ingress, Status};
+use super::folder::{self, Files, Ingress, Status};
 use super::{author, failed, micros, show, span, CHANGES};
 use crate::config::Format;
+use crate::group::look::{look as look_at, Look};
+use crate::group::Sockets;
 use crate::style;
 use clap::Args;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use wrenfork_config::enforced::align;
 use wrenfork_config::reach::{stranded, Node};
-use wrenfork_control::figures::NodeSeen;
+use wrenfork_control::figures::{Figures, NodeSeen};
 use wrenfork_control::plan::{Danger, Plan, Seen};
 use wrenfork_control::protocol::{Ask, Record};
-use wrenfork_control::state::State;
+use wrenfork_control::state::{Digest, Generation, State};
+use wrenfork_roster::decree::Decree;
 use wrenfork_routes::Traits;
 
 #[derive(Args)]
@@ -40,13 +44,117 @@
     format: Format,
 }
 
+/// What stands at the ingresses that files describe.
+pub struct Found {
+    /// Those that can be planned for.
+    pub ingresses: Vec<Ingress>,
+    /// What each enforces, or is to enforce as soon as it is back.
+    pub has: Vec<Status>,
+    /// Members of groups that do not answer, and why.
+    pub away: BTreeMap<String, String>,
+    /// The sockets of the groups' members.
+    pub groups: Vec<BTreeMap<String, String>>,
+}
+
+/// How often, and after which pause, it is looked again at a group that is deciding something.
+const LOOKS: u32 = 10;
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
+
+/// What stands in a group, once nothing is being decided there.
+fn settled(at: &Sockets) -> Result<(Look, Arc<Decree>), String> {
+    for _ in 0..LOOKS {
+        let seen = look_at(at)?;
+        let stands = seen.known()?;
+        if !seen.pending() {
+            return Ok((seen, stands));
+        }
+        std::thread::sleep(LOOK_AGAIN);
+    }
+    Err("something is being decided there: try again, or wrenctl apply --resume settles it at once".into())
+}
+
+/// Why a member of a group can't be left out.
+pub const IN_A_GROUP: &str =
+    "belongs to a group, which decides for all of its members: one that is away is shut out until it is back";
+
 /// What every ingress enforces; all that hinders is told at once.
-pub fn look(ingresses: &[Ingress]) -> Result<Vec<Status>, ExitCode> {
+pub fn look(files: Files) -> Result<Found, ExitCode> {
+    let (mut wrong, mut away, mut groups) = (false, BTreeMap::new(), Vec::new());
+    // What stands at each member of a group, as the group says.
+    let mut stands: BTreeMap<String, (Generation, Arc<State>)> = BTreeMap::new();
+    let mut refuse = |why: String| {
+        failed(why);
+        wrong = true;
+    };
+    let mut states: BTreeMap<Digest, Arc<State>> = BTreeMap::new();
+    for (app, group) in &files.groups {
+        let at = group.links("");
+        let (seen, decree) = match settled(&at) {
+            Ok(seen) => seen,
+            Err(why) => {
+                refuse(format!("{app}: {why}"));
+                continue;
+            }
+        };
+        for seat in &decree.roster.seats {
+            if !at.contains_key(&seat.name) {
+                let name = &seat.name;
+                refuse(format!("{name} is in the roster and not in the files: wrenctl roster remove {name}"));
+            }
+            if let Some((generation, state)) = decree.at(&seat.name) {
+                // Most members enforce the same, which is kept once.
+                let state = states.entry(generation.digest.clone()).or_insert_with(|| Arc::new(state)).clone();
+                stands.insert(seat.name.clone(), (generation, state));
+            }
+        }
+        let seated = |name: &String| decree.roster.seat(name).is_some();
+        away.extend(seen.away.into_iter().filter(|(name, _)| seated(name)));
+        groups.push(at.iter().map(|(name, path)| (name.clone(), path.display().to_string())).collect());
+    }
+    let grouped: BTreeSet<String> =
+        files.ingresses.iter().filter(|i| files.group_of(&i.name).is_some()).map(|i| i.name.clone()).collect();
+    let (seated, unseated): (Vec<_>, Vec<_>) =
+        files.ingresses.into_iter().partition(|i| !grouped.contains(&i.name) || stands.contains_key(&i.name));
+    if wrong {
+        return Err(ExitCode::FAILURE);
+    }
+    for ingress in unseated {
+        let name = ingress.name;
+        anstream::eprintln!("{} {name} is not in the roster: wrenctl roster add {name}", style::doubtful("left out:"));
+    }
+    let mut has = standing(&seated, &stands, &away)?;
+    for (ingress, status) in seated.iter().zip(&mut has) {
+        if let Some((generation, state)) = stands.get(&ingress.name) {
+            (status.generation, status.state) = (generation.clone(), state.clone());
+        }
+    }
+    Ok(Found { ingresses: seated, has, away, groups })
+}
+
+/// What ingresses say of themselves. Of a member of a group that is away it is known what stands there, and nothing else.
+fn standing(
+    ingresses: &[Ingress],
+    stands: &BTreeMap<String, (Generation, Arc<State>)>,
+    away: &BTreeMap<String, String>,
+) -> Result<Vec<Status>, ExitCode> {
     let (mut seen, mut wrong) = (Vec::new(), false);
-    let found = folder::status(ingresses.iter().map(|i| i.control.as_path()));
-    for (ingress, status) in ingresses.iter().zip(found) {
-        match status {
-            Ok(status) => {
+    let asked = ingresses.iter().filter(|i| !away.contains_key(&i.name));
+    let mut found = folder::status(asked.map(|i| i.control.as_path())).into_iter();
+    for ingress in ingresses {
+        let status = match away.get(&ingress.name) {
+            Some(why) => Err(why.clone()),
+            None => found.next().unwrap_or_else(|| Err("it was not asked".into())),
+        };
+        let known = stands.get(&ingress.name);
+        match (status, known) {
+            (Ok(status), Some(_)) => seen.push(status),
+            (Err(_), Some((generation, state))) => seen.push(Status {
+                generation: generation.clone(),
+                state: state.clone(),
+                promise: None,
+                figures: Figures::default(),
+            }),
+            (Ok(status), None) => {
                 if let Some(p) = &status.promise {
                     let (change, by) = (p.change.short(), &p.author);
                     failed(format!(
@@ -57,7 +165,7 @@
                 }
                 seen.push(status);
             }
-            Err(why) => {
+            (Err(why), None) => {
                 failed(format!("{}: {why}; --leave-out {} plans without it", ingress.name, ingress.name));
                 wrong = true;
             }
@@ -79,6 +187,7 @@
     who: (&str, u64, u64),
     ingresses: Vec<Ingress>,
     has: Vec<Status>,
+    groups: Vec<BTreeMap<String, String>>,
 ) -> Result<Option<Plan>, ExitCode> {
     let mut seen: Vec<Seen> = Vec::with_capacity(ingresses.len());
     // The sidecars of an application tell each other what is used.
@@ -115,7 +224,7 @@
             used: has.figures.plans,
         });
     }
-    Ok(Plan::make(who, seen))
+    Ok(Plan::make(who, seen).map(|plan| Plan { groups, ..plan }.only(|_| true)))
 }
 
 /// Writes a plan's file: whole or not at all.
@@ -128,8 +237,8 @@
     Ok(())
 }
 
-/// Has every ingress of a plan keep a record of what was done; one that can't has none.
-pub fn note(plan: &Plan, what: &str, author: &str, why: &str) {
+/// Has every ingress of a plan that is not away keep a record of what was done; one that can't has none.
+pub fn note(plan: &Plan, away: &BTreeMap<String, String>, what: &str, author: &str, why: &str) {
     let record = Record {
         at: 0,
         what: what.into(),
@@ -138,7 +247,8 @@
         generation: plan.generation,
         why: why.into(),
     };
-    let asks = plan.targets.iter().map(|t| (PathBuf::from(&t.control), Ask::Note { record: record.clone() }));
+    let there = plan.targets.iter().filter(|t| !away.contains_key(&t.ingress));
+    let asks = there.map(|t| (PathBuf::from(&t.control), Ask::Note { record: record.clone() }));
     super::drive::ask_all(asks.collect(), Duration::from_secs(5));
 }
 
@@ -147,16 +257,19 @@
 }
 
 fn run(options: &Options) -> Result<ExitCode, ExitCode> {
-    let mut ingresses = folder::ingresses(&options.folder)?;
+    let mut files = folder::read(&options.folder)?;
     for name in &options.leave_out {
-        if ingresses.iter().all(|i| i.name != *name) {
+        if files.ingresses.iter().all(|i| i.name != *name) {
             return Err(failed(format!("there is no ingress {name} to leave out")));
         }
+        if files.group_of(name).is_some() {
+            return Err(failed(format!("{name} {IN_A_GROUP}")));
+        }
     }
-    ingresses.retain(|i| !options.leave_out.contains(&i.name));
-    let has = look(&ingresses)?;
+    files.ingresses.retain(|i| !options.leave_out.contains(&i.name));
+    let found = look(files)?;
     let author = author(options.author.as_deref());
-    let plan = make((&author, micros(), options.good_for.as_secs()), ingresses, has)?;
+    let plan = make((&author, micros(), options.good_for.as_secs()), found.ingresses, found.has, found.groups)?;
     let Some(plan) = plan else {
         match options.format {
             Format::Text => anstream::println!(
@@ -168,12 +281,15 @@
         return Ok(ExitCode::SUCCESS);
     };
     match options.format {
-        Format::Text => show::text(&plan),
-        Format::Json => show::json(&plan),
+        Format::Text => {
+            show::text(&plan);
+            show::away(&found.away);
+        }
+        Format::Json => show::json(&plan, &found.away),
     }
     if let Some(out) = &options.out {
         write(&plan, out).map_err(failed)?;
-        note(&plan, "planned", &author, "");
+        note(&plan, &found.away, "planned", &author, "");
         if options.format == Format::Text {
             anstream::println!("written to {}; wrenctl apply {} makes it", out.display(), out.display());
         }
--- a/crates/ctl/src/change/rollback.rs
+++ b/crates/ctl/src/change/rollback.rs
@@ -33,21 +33,22 @@
 }
 
 fn run(options: &Options) -> Result<ExitCode, ExitCode> {
-    let ingresses = folder::ingresses(&options.folder)?;
-    let has = plan::look(&ingresses)?;
-    let wanted = folder::recall(ingresses, std::iter::repeat(options.generation))?;
+    let found = plan::look(folder::read(&options.folder)?)?;
+    let grouped = |name: &str| found.groups.iter().any(|g| g.contains_key(name));
+    let wanted = folder::recall(found.ingresses, &found.has, &found.away, grouped, |_| options.generation)?;
     let author = author(options.author.as_deref());
-    let Some(made) = plan::make((&author, micros(), 3_600), wanted, has)? else {
+    let Some(made) = plan::make((&author, micros(), 3_600), wanted, found.has, found.groups)? else {
         println!("nothing to do: generation {} is what is enforced", options.generation);
         return Ok(ExitCode::SUCCESS);
     };
     show::text(&made);
+    show::away(&found.away);
     if let Some(out) = &options.out {
         plan::write(&made, out).map_err(failed)?;
         println!("written to {}", out.display());
         return Ok(ExitCode::SUCCESS);
     }
     apply::meant(options.yes).map_err(failed)?;
-    plan::note(&made, "rollback", &author, &format!("back to generation {}", options.generation));
+    plan::note(&made, &found.away, "rollback", &author, &format!("back to generation {}", options.generation));
     Ok(apply::make(&made, options.patience))
 }
--- a/crates/ctl/src/change/show.rs
+++ b/crates/ctl/src/change/show.rs
@@ -71,14 +71,24 @@
     );
 }
 
+/// Who is away, and what becomes of them.
+pub fn away(away: &BTreeMap<String, String>) {
+    for (name, why) in away {
+        println!(
+            "{} {name} ({why}): the change is made without it; from then on it serves nobody until it has learnt this",
+            style::doubtful("away:")
+        );
+    }
+}
+
 /// The same for scripts: all of it but the states themselves.
-pub fn json(plan: &Plan) {
+pub fn json(plan: &Plan, away: &BTreeMap<String, String>) {
     let targets = plan.targets.iter().map(|t| {
         json!({"ingress": t.ingress, "control": t.control, "base": t.base, "wanted": t.wanted,
                "differences": plan.differences[t.differences]})
     });
     let whole = json!({"change": plan.id(), "author": plan.author, "made_at": plan.made_at, "good_for": plan.good_for,
                        "generation": plan.generation, "targets": targets.collect::<Vec<_>>(),
-                       "dangers": plan.dangers});
+                       "dangers": plan.dangers, "away": away});
     println!("{}", serde_json::to_string_pretty(&whole).unwrap_or_default());
 }
--- /dev/null
+++ b/crates/ctl/src/group/witness.rs
@@ -0,0 +1,101 @@
+//! `wrenctl witness`: a member that keeps promises and serves nobody.
+
+use crate::change::failed;
+use clap::Args;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use wrenfork_config::group::group;
+use wrenfork_config::set::Set;
+use wrenfork_control::figures::Figures;
+use wrenfork_control::participant::Memory;
+use wrenfork_control::protocol::Record;
+use wrenfork_control::state::State;
+use wrenfork_keeper::group::{Alone, Membership};
+use wrenfork_keeper::ledger::Ledger;
+use wrenfork_keeper::{socket, Enforcer, Keeper};
+
+/// The most bytes of a message: a decree has the whole policy, some hundred thousand accounts at most.
+const MOST: usize = 64 << 20;
+
+#[derive(Args)]
+pub struct Options {
+    /// The application's file, which has the roster
+    #[arg(value_name = "FILE")]
+    app: PathBuf,
+    /// The site's file; site.toml beside the application's without it
+    #[arg(long, value_name = "FILE")]
+    site: Option<PathBuf>,
+    /// The witness, where the file has several
+    #[arg(long, value_name = "NAME")]
+    name: Option<String>,
+    /// The folder for its promises, in place of the file's
+    #[arg(long, value_name = "DIR")]
+    state: Option<PathBuf>,
+}
+
+/// It enforces nothing.
+struct Witness;
+
+impl Enforcer for Witness {
+    fn check(&self, _: &State) -> Result<(), String> {
+        Ok(())
+    }
+
+    fn switch(&self, _: &State) -> Result<(), String> {
+        Ok(())
+    }
+
+    fn figures(&self) -> Figures {
+        Figures::default()
+    }
+
+    fn log(&self, record: &Record) {
+        let Record { what, author, change, generation, why, .. } = record;
+        let why = if why.is_empty() { String::new() } else { format!(": {why}") };
+        eprintln!(
+            "{what}{why} (generation {generation}, change {change}, by {author:?})",
+            change = change.short()
+        );
+    }
+}
+
+pub fn main(options: &Options) -> ExitCode {
+    match run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => failed(why),
+    }
+}
+
+fn run(options: &Options) -> Result<(), String> {
+    let beside =
+        || options.app.parent().unwrap_or(std::path::Path::new("")).join("site.toml");
+    let set = Set::read([options.site.clone().unwrap_or_else(beside), options.app.clone()]);
+    if set.refused() {
+        crate::config::print::text(&set);
+        return Err(format!("{} is refused", options.app.display()));
+    }
+    let apps = set.applications();
+    let [app] = &apps[..] else { return Err(format!("{} is no application's file", options.app.display())) };
+    let told = group(app.content).ok_or("the application has no roster")?;
+    let witnesses: Vec<_> = told.members.iter().filter(|m| !m.serves).collect();
+    let named = |name: &String| witnesses.iter().find(|m| m.short == *name).copied();
+    let own = match (&options.name, &witnesses[..]) {
+        (Some(name), _) => named(name).ok_or_else(|| format!("there is no witness {name} in the file"))?,
+        (None, [only]) => *only,
+        (None, []) => return Err("the application has no witness: add a [[witness]]".into()),
+        (None, _) => return Err("the application has several witnesses: name one with --name".into()),
+    };
+    let folder = options.state.clone().or_else(|| own.state.clone()).ok_or("it has no folder: --state DIR")?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("cannot take signals: {e}"))?;
+    let ledger = Ledger::open(Some(&folder), || Memory::first(1, State::default()))?;
+    let listening = socket::listen(&own.control, 0o600).map_err(|why| format!("control: {why}"))?;
+    let links = told.links(&own.name);
+    let membership = Membership { charter: told.charter(), links, alone: Alone::Refuse };
+    let keeper = Keeper::start(&own.name, listening, ledger, Witness, MOST, Some(membership))?;
+    eprintln!("{} keeps promises at {}", own.name, own.control.display());
+    let _ = signals.forever().next();
+    keeper.close();
+    Ok(())
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod change;
 mod config;
 mod fleet;
+mod group;
 mod keys;
 mod reload;
 mod route;
@@ -41,6 +42,13 @@
     Keys(keys::Verb),
     /// Has an ingress read its files again, and tells whether it took them
     Reload(reload::Options),
+    /// How the groups of a folder's files stand: who is there, whose lease ends when, what is pending
+    Status(group::status::Options),
+    /// Who belongs to a group that decides changes by a majority
+    #[command(subcommand)]
+    Roster(group::roster::Verb),
+    /// Runs a member of a group that keeps promises and serves nobody
+    Witness(group::witness::Options),
     /// Tells who planned, applied and rolled back what
     History(change::history::Options),
 }
@@ -55,6 +63,9 @@
         Verb::Rollback(options) => change::rollback::main(&options),
         Verb::Keys(verb) => keys::main(verb),
         Verb::Reload(options) => reload::main(&options),
+        Verb::Status(options) => group::status::main(&options),
+        Verb::Roster(verb) => group::roster::main(&verb),
+        Verb::Witness(options) => group::witness::main(&options),
         Verb::History(options) => change::history::main(&options),
     }
 }
