Groups of real processes with faults between them; a member that joins can't be planned past

What they found, each mended: connections behind a dropped link used up a member's places, so that one more now takes the place of the longest silent; a member asked for its promise right after its start was never asked again, so that a change failed after 30 s; a plan made before a member came in left that member on the old policy, and is refused now; a full disk at one member refused every change, and counts as away now.

--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -93,7 +93,7 @@
         match stands {
             Ok((decree, gone)) => {
                 away.extend(gone.into_iter().filter(|(name, _)| decree.roster.seat(name).is_some()));
-                if let Err(why) = follows(part, &decree) {
+                if let Err(why) = follows(part, &decree, false) {
                     failed(why);
                     wrong = true;
                 }
@@ -111,16 +111,19 @@
     rest.map(|()| away)
 }
 
+/// A group's part of a plan, with its members' sockets.
+type Part<'a> = (&'a BTreeMap<String, String>, Plan);
+
 /// A plan's parts: that of each group, with its members' sockets, and that of ingresses which decide each for itself.
-fn parts(plan: &Plan) -> (Vec<(&BTreeMap<String, String>, Plan)>, Plan) {
+fn parts(plan: &Plan) -> (Vec<Part<'_>>, Plan) {
     let of = |group: &BTreeMap<String, String>| plan.only(|t| group.contains_key(&t.ingress));
     let groups = plan.groups.iter().map(|group| (group, of(group))).collect();
     (groups, plan.only(|t| plan.groups.iter().all(|g| !g.contains_key(&t.ingress))))
 }
 
-/// The decree that a group's part of a plan wants behind the one that stands. A member that it says nothing of goes on with
-/// what it has.
-fn follows(part: &Plan, stands: &Decree) -> Result<Decree, String> {
+/// The decree that a group's part of a plan wants behind the one that stands. Only where it is a part of the members on
+/// purpose may it say nothing of one, which goes on with what it has.
+fn follows(part: &Plan, stands: &Decree, some: bool) -> Result<Decree, String> {
     let mut states: BTreeMap<String, Arc<State>> = BTreeMap::new();
     for target in &part.targets {
         let name = &target.ingress;
@@ -133,6 +136,12 @@
     }
     for seat in &stands.roster.seats {
         if let (false, Some((_, state))) = (states.contains_key(&seat.name), stands.at(&seat.name)) {
+            if !some {
+                return Err(format!(
+                    "{} has come into the roster since the plan was made: make it anew",
+                    seat.name
+                ));
+            }
             states.insert(seat.name.clone(), Arc::new(state));
         }
     }
@@ -170,10 +179,15 @@
 
 /// Makes a change, and tells how it ended.
 pub fn make(plan: &Plan, patience: Duration) -> ExitCode {
+    make_at(plan, false, patience)
+}
+
+/// The same; with `some` at some members of a group alone.
+fn make_at(plan: &Plan, some: bool, patience: Duration) -> ExitCode {
     let (groups, rest) = parts(plan);
     let mut made = Vec::new();
     for (at, part) in groups {
-        let outcome = decide(&members(at), &Wanted::Decree(&|stands| follows(&part, stands)), patience);
+        let outcome = decide(&members(at), &Wanted::Decree(&|stands| follows(&part, stands, some)), patience);
         decide::tell(&format!("change {}", part.id().short()), &outcome);
         let code = match outcome {
             Outcome::Made(..) => {
@@ -184,8 +198,7 @@
             Outcome::Unfinished => ExitCode::from(UNFINISHED),
         };
         if !made.is_empty() {
-            let done: Vec<&str> =
-                made.iter().flat_map(|p| &p.targets).map(|t| t.ingress.as_str()).collect();
+            let done: Vec<&str> = made.iter().flat_map(|p| &p.targets).map(|t| t.ingress.as_str()).collect();
             failed(format!("it was made at {} before: plan again for the rest", done.join(", ")));
         }
         return code;
@@ -283,7 +296,7 @@
     let rest = plan.only(|t| !names.contains(&t.ingress.as_str()));
     eprintln!("watching {} for {:?} before the change", names.join(", "), options.watch);
     let before = watched(&part, options.watch)?;
-    let made = make(&part, options.patience);
+    let made = make_at(&part, true, options.patience);
     if made != ExitCode::SUCCESS {
         return Ok(made);
     }
@@ -306,10 +319,10 @@
         let why = format!("{:.1}% lost in place of {:.1}%", is * 100.0, was * 100.0);
         anstream::eprintln!("{} {why}: taking it back", style::bad("canary:"));
         let back = back(&part)?;
-        let taken = make(&back, options.patience);
+        let taken = make_at(&back, true, options.patience);
         return Ok(if taken == ExitCode::SUCCESS { ExitCode::FAILURE } else { taken });
     }
-    Ok(make(&behind(&part, rest), options.patience))
+    Ok(make_at(&behind(&part, rest), true, options.patience))
 }
 
 /// The rest of a plan once its first part is made. A group numbers what all of it enforces: its members that were not among
--- a/crates/ctl/src/change/plan.rs
+++ b/crates/ctl/src/change/plan.rs
@@ -7,10 +7,10 @@
 use crate::group::Sockets;
 use crate::style;
 use clap::Args;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use wrenfork_config::enforced::align;
@@ -103,7 +103,8 @@
             }
             if let Some((generation, state)) = decree.at(&seat.name) {
                 // Most members enforce the same, which is kept once.
-                let state = states.entry(generation.digest.clone()).or_insert_with(|| Arc::new(state)).clone();
+                let state =
+                    states.entry(generation.digest.clone()).or_insert_with(|| Arc::new(state)).clone();
                 stands.insert(seat.name.clone(), (generation, state));
             }
         }
@@ -111,8 +112,12 @@
         away.extend(seen.away.into_iter().filter(|(name, _)| seated(name)));
         groups.push(at.iter().map(|(name, path)| (name.clone(), path.display().to_string())).collect());
     }
-    let grouped: BTreeSet<String> =
-        files.ingresses.iter().filter(|i| files.group_of(&i.name).is_some()).map(|i| i.name.clone()).collect();
+    let grouped: BTreeSet<String> = files
+        .ingresses
+        .iter()
+        .filter(|i| files.group_of(&i.name).is_some())
+        .map(|i| i.name.clone())
+        .collect();
     let (seated, unseated): (Vec<_>, Vec<_>) =
         files.ingresses.into_iter().partition(|i| !grouped.contains(&i.name) || stands.contains_key(&i.name));
     if wrong {
@@ -120,7 +125,10 @@
     }
     for ingress in unseated {
         let name = ingress.name;
-        anstream::eprintln!("{} {name} is not in the roster: wrenctl roster add {name}", style::doubtful("left out:"));
+        anstream::eprintln!(
+            "{} {name} is not in the roster: wrenctl roster add {name}",
+            style::doubtful("left out:")
+        );
     }
     let mut has = standing(&seated, &stands, &away)?;
     for (ingress, status) in seated.iter().zip(&mut has) {
@@ -269,7 +277,8 @@
     files.ingresses.retain(|i| !options.leave_out.contains(&i.name));
     let found = look(files)?;
     let author = author(options.author.as_deref());
-    let plan = make((&author, micros(), options.good_for.as_secs()), found.ingresses, found.has, found.groups)?;
+    let plan =
+        make((&author, micros(), options.good_for.as_secs()), found.ingresses, found.has, found.groups)?;
     let Some(plan) = plan else {
         match options.format {
             Format::Text => anstream::println!(
--- a/crates/ctl/src/change/rollback.rs
+++ b/crates/ctl/src/change/rollback.rs
@@ -49,6 +49,12 @@
         return Ok(ExitCode::SUCCESS);
     }
     apply::meant(options.yes).map_err(failed)?;
-    plan::note(&made, &found.away, "rollback", &author, &format!("back to generation {}", options.generation));
+    plan::note(
+        &made,
+        &found.away,
+        "rollback",
+        &author,
+        &format!("back to generation {}", options.generation),
+    );
     Ok(apply::make(&made, options.patience))
 }
--- a/crates/ctl/src/group/look.rs
+++ b/crates/ctl/src/group/look.rs
@@ -88,8 +88,11 @@
     pub fn known(&self) -> Result<Arc<Decree>, String> {
         let away: Vec<String> = self.away.iter().map(|(name, why)| format!("{name} ({why})")).collect();
         let Some(decree) = &self.decree else {
-            let rest =
-                if away.is_empty() { String::new() } else { format!("; these are away: {}", away.join(", ")) };
+            let rest = if away.is_empty() {
+                String::new()
+            } else {
+                format!("; these are away: {}", away.join(", "))
+            };
             return Err(format!("the group has not been formed yet, which takes all of its members{rest}"));
         };
         if !enough(&decree.roster, &self.stands) {
--- a/crates/ctl/src/group/roster.rs
+++ b/crates/ctl/src/group/roster.rs
@@ -109,10 +109,15 @@
         let Some(new) = of(name) else { return Ok(BTreeMap::new()) }; // a witness
         let known = stands.policy.own.keys().find_map(|n| Some((stands.policy.at(n)?, of(n)?)));
         let (has, files_like) = known.ok_or("no member of the roster is in the files")?;
-        Ok([(name.to_string(), Arc::new(State(folder::like(&has.0, &files_like.wanted, &new.wanted))))].into())
+        Ok([(name.to_string(), Arc::new(State(folder::like(&has.0, &files_like.wanted, &new.wanted))))]
+            .into())
     }
 
-    fn make(&self, what: &str, roster: &dyn Fn(&Roster) -> Result<Roster, String>) -> Result<ExitCode, ExitCode> {
+    fn make(
+        &self,
+        what: &str,
+        roster: &dyn Fn(&Roster) -> Result<Roster, String>,
+    ) -> Result<ExitCode, ExitCode> {
         let wanted = |stands: &Decree| {
             let roster = roster(&stands.roster)?;
             let new = match roster.seat(&self.change.member) {
--- a/crates/ctl/src/group/status.rs
+++ b/crates/ctl/src/group/status.rs
@@ -91,7 +91,9 @@
 fn run(options: &Options) -> Result<ExitCode, ExitCode> {
     let files = folder::read(&options.folder)?;
     if files.groups.is_empty() {
-        return Err(failed("no application here has a roster: wrenctl plan and wrenctl history tell how its ingresses stand"));
+        return Err(failed(
+            "no application here has a roster: wrenctl plan and wrenctl history tell how its ingresses stand",
+        ));
     }
     let (mut code, mut all) = (ExitCode::SUCCESS, Vec::new());
     for (name, group) in &files.groups {
@@ -113,7 +115,9 @@
                     json!({"number": d.number, "generation": d.generation, "change": d.change,
                            "digest": d.digest, "roster": d.roster})
                 });
-                all.push(json!({"application": name, "stands": stands, "members": seen.stands, "away": seen.away}));
+                all.push(
+                    json!({"application": name, "stands": stands, "members": seen.stands, "away": seen.away}),
+                );
             }
         }
     }
--- a/crates/ctl/src/group/witness.rs
+++ b/crates/ctl/src/group/witness.rs
@@ -69,8 +69,7 @@
 }
 
 fn run(options: &Options) -> Result<(), String> {
-    let beside =
-        || options.app.parent().unwrap_or(std::path::Path::new("")).join("site.toml");
+    let beside = || options.app.parent().unwrap_or(std::path::Path::new("")).join("site.toml");
     let set = Set::read([options.site.clone().unwrap_or_else(beside), options.app.clone()]);
     if set.refused() {
         crate::config::print::text(&set);
@@ -87,7 +86,8 @@
         (None, []) => return Err("the application has no witness: add a [[witness]]".into()),
         (None, _) => return Err("the application has several witnesses: name one with --name".into()),
     };
-    let folder = options.state.clone().or_else(|| own.state.clone()).ok_or("it has no folder: --state DIR")?;
+    let folder =
+        options.state.clone().or_else(|| own.state.clone()).ok_or("it has no folder: --state DIR")?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("cannot take signals: {e}"))?;
     let ledger = Ledger::open(Some(&folder), || Memory::first(1, State::default()))?;
     let listening = socket::listen(&own.control, 0o600).map_err(|why| format!("control: {why}"))?;
--- a/crates/fleet/src/judge/mod.rs
+++ b/crates/fleet/src/judge/mod.rs
@@ -2,6 +2,7 @@
 //! No I/O and no clock; never a word from an ingress's log or figures.
 
 mod ceilings;
+pub mod policy;
 #[cfg(test)]
 mod tests;
 mod worth;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arrivals;
 pub mod judge;
+pub mod links;
 pub mod machine;
 pub mod report;
 pub mod rig;
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -47,6 +47,11 @@
         Gate::of(self.keeper.gate())
     }
 
+    /// The descriptors that it may take besides those that each ingress has to spare.
+    pub fn descriptors(&self) -> usize {
+        self.keeper.descriptors()
+    }
+
     /// Ends the control side.
     pub fn close(self) {
         self.keeper.close();
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -204,7 +204,8 @@
         let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
             enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let budget = Budget::new(config.sockets, config.management.is_some())?;
+        let grouped = control.as_ref().map_or(0, Port::descriptors);
+        let budget = Budget::new(config.sockets, config.management.is_some(), grouped)?;
         let management =
             management::open(config.management, registry, MANAGEMENT, |key| Token(CALLERS + key))?;
         let ledger = Ledger::new(names(&vocabulary));
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -29,9 +29,10 @@
 }
 
 impl Budget {
-    /// What is left of the process's limit for clients and backends; an error where that is next to none.
-    pub fn new(sockets: usize, managed: bool) -> Result<Self, String> {
-        let other = OTHER_SOCKETS + if managed { MANAGEMENT_SOCKETS } else { 0 };
+    /// What is left of the process's limit for clients and backends, with what belonging to a group takes; an error where
+    /// that is next to none.
+    pub fn new(sockets: usize, managed: bool, grouped: usize) -> Result<Self, String> {
+        let other = OTHER_SOCKETS + grouped + if managed { MANAGEMENT_SOCKETS } else { 0 };
         let left = sockets.checked_sub(other + MOST_SURPLUS).filter(|n| *n >= 8);
         let left = left.ok_or_else(|| format!("limits.sockets is too few: {sockets}"));
         left.map(|shared| Budget { shared, idle: sockets / IDLE_SHARE })
--- a/crates/keeper/src/drive.rs
+++ b/crates/keeper/src/drive.rs
@@ -31,8 +31,12 @@
     let (answered, answers) = channel::<(usize, Ask, Result<Say, String>)>();
     faults.pass("apply", "begun");
     loop {
-        let now = clock::now();
-        for (member, ask) in proposer.asks(now) {
+        let (now, before) = (clock::now(), proposer.phase.clone());
+        let asks = proposer.asks(now);
+        if before != proposer.phase {
+            faults.pass("apply", "decided");
+        }
+        for (member, ask) in asks {
             faults.pass("apply", "asking");
             let Some(path) = at.get(&names[member]).cloned() else {
                 let why = Err("nothing says where its socket is".to_string());
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -1,6 +1,8 @@
 //! Points at which a test has the process end as by a crash. `WRENFORK_FAULT=decide.written` ends it the first time that it
-//! passes there, `decide.written:2` the second time. Without the variable nothing is looked at again.
+//! passes there, `decide.written:2` the second time; `decide.written:2:stop` freezes it there, until it is told to go on.
+//! Without the variable nothing is looked at again.
 
+use rustix::process::{getpid, kill_process, Signal};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
@@ -44,15 +46,25 @@
 
 /// The point that is set, if any.
 #[derive(Clone, Debug, Default)]
-pub struct Faults(Option<(String, Arc<AtomicU32>)>);
+pub struct Faults(Option<Fault>);
+
+#[derive(Clone, Debug)]
+struct Fault {
+    point: String,
+    left: Arc<AtomicU32>,
+    /// Whether the process is frozen in place of ended.
+    stops: bool,
+}
 
 impl Faults {
     /// What the environment says.
     pub fn told() -> Faults {
         let told = std::env::var(VARIABLE).ok().filter(|v| !v.is_empty());
         Faults(told.map(|text| {
-            let (point, times) = text.split_once(':').unwrap_or((&text, "1"));
-            (point.to_string(), Arc::new(AtomicU32::new(times.parse().unwrap_or(1))))
+            let mut parts = text.split(':');
+            let point = parts.next().unwrap_or_default().to_string();
+            let times = parts.next().and_then(|t| t.parse().ok()).unwrap_or(1);
+            Fault { point, left: Arc::new(AtomicU32::new(times)), stops: parts.next() == Some("stop") }
         }))
     }
 
@@ -63,9 +75,13 @@
 
     /// Passes a point; ends the process there if it is set.
     pub fn pass(&self, of: &str, step: &str) {
-        let Some((point, left)) = &self.0 else { return };
-        if point.split_once('.') == Some((of, step)) && left.fetch_sub(1, Ordering::SeqCst) == 1 {
+        let Some(Fault { point, left, stops }) = &self.0 else { return };
+        if point.split_once('.') != Some((of, step)) || left.fetch_sub(1, Ordering::SeqCst) != 1 {
+            return;
+        }
+        if !*stops {
             std::process::abort();
         }
+        let _ = kill_process(getpid(), Signal::STOP);
     }
 }
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -88,6 +88,7 @@
     standing: Mutex<Standing>,
     gate: Gate,
     alone: Alone,
+    members: usize,
     started: Duration,
     wake: UnixStream,
     closed: AtomicBool,
@@ -106,8 +107,9 @@
         let standing = Standing::new(name, memory, membership.charter.clone(), drawn(), started);
         let pause_ms = standing.every().as_millis() as u64;
         let gate = Gate { until: Arc::default(), pause_ms };
-        let (alone, closed) = (membership.alone, AtomicBool::new(false));
-        Ok((Arc::new(Shared { standing: Mutex::new(standing), gate, alone, started, wake, closed }), woken))
+        let (alone, members) = (membership.alone, membership.links.len());
+        let (standing, closed) = (Mutex::new(standing), AtomicBool::new(false));
+        Ok((Arc::new(Shared { standing, gate, alone, members, started, wake, closed }), woken))
     }
 
     pub fn standing(&self) -> MutexGuard<'_, Standing> {
@@ -142,6 +144,11 @@
         let _ = (&self.wake).write(&[0]); // full: it is awake
     }
 
+    /// How many belong to it, as far as is known here.
+    pub fn members(&self) -> usize {
+        self.members
+    }
+
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
         self.wake();
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod client;
 pub mod clock;
+mod connections;
 pub mod drive;
 pub mod fault;
 pub mod group;
@@ -17,13 +18,13 @@
 mod links;
 pub mod socket;
 
+use connections::{Connection, Connections};
 use fault::Faults;
 use group::{Driver, Gate, Membership, Shared};
 use ledger::Ledger;
 use socket::Socket;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use wrenfork_control::figures::Figures;
@@ -34,7 +35,7 @@
 use wrenfork_roster::protocol as group_protocol;
 use wrenfork_roster::seats::Kind;
 
-/// Connections that are served at once, besides one for each other member of the group; others are told to come again.
+/// Connections that are served at once, besides one for each other member of the group.
 const MOST_CONNECTIONS: usize = 8;
 /// How long a connection may say nothing, or read nothing.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -135,25 +136,25 @@
         let (serving, sharing) = (inner.clone(), shared.clone());
         let accept = move || {
             let_others_first();
-            let open = Arc::new(AtomicUsize::new(0));
+            let connections = Connections::new(most_connections);
             for stream in listener.incoming().flatten() {
-                let (inner, shared, count) = (serving.clone(), sharing.clone(), open.clone());
-                if count.fetch_add(1, Ordering::SeqCst) >= most_connections {
-                    count.fetch_sub(1, Ordering::SeqCst);
-                    let why = "too many control connections: try again".to_string();
-                    let _ = (&stream).write_all(protocol::line(&Say::No { why }).as_bytes());
-                    continue;
-                }
+                let (inner, shared) = (serving.clone(), sharing.clone());
+                let connection = match connections.take_in(stream) {
+                    Ok(connection) => connection,
+                    Err(stream) => {
+                        let why = "too many control connections: try again".to_string();
+                        let _ = (&stream).write_all(protocol::line(&Say::No { why }).as_bytes());
+                        continue;
+                    }
+                };
                 let serve = move || {
                     let_others_first();
                     // A connection that breaks is its peer's to mend.
-                    let _ = Self::serve(&inner, shared.as_deref(), &stream);
-                    count.fetch_sub(1, Ordering::SeqCst);
+                    let _ = Self::serve(&inner, shared.as_deref(), &connection);
                 };
+                // Where no thread can be had, the connection ends.
                 let thread = std::thread::Builder::new().name("control".into()).stack_size(STACK);
-                if thread.spawn(serve).is_err() {
-                    open.fetch_sub(1, Ordering::SeqCst);
-                }
+                let _ = thread.spawn(serve);
             }
         };
         let thread = std::thread::Builder::new().name("control".into()).stack_size(STACK);
@@ -166,17 +167,29 @@
         self.shared.as_ref().map(|s| s.gate())
     }
 
-    fn serve(inner: &Mutex<Inner<E>>, shared: Option<&Shared>, stream: &UnixStream) -> std::io::Result<()> {
+    /// The descriptors that belonging to a group may take: connections of members and to members.
+    pub fn descriptors(&self) -> usize {
+        self.shared.as_ref().map_or(0, |s| MOST_CONNECTIONS + 2 * s.members())
+    }
+
+    fn serve(
+        inner: &Mutex<Inner<E>>,
+        shared: Option<&Shared>,
+        connection: &Connection,
+    ) -> std::io::Result<()> {
+        let stream: &UnixStream = &connection.stream;
         stream.set_read_timeout(Some(PATIENCE))?;
         stream.set_write_timeout(Some(PATIENCE))?;
         let most = inner.lock().unwrap_or_else(PoisonError::into_inner).most;
         let mut reader = BufReader::new(stream);
         loop {
+            connection.busy(false);
             let mut line = String::new();
             let came = (&mut reader).take(most as u64 + 1).read_line(&mut line)?;
             if came == 0 {
                 return Ok(());
             }
+            connection.busy(true);
             if came > most {
                 let why = format!(
                     "the message is longer than {most} bytes, which is what this ingress's memory allows"
--- a/crates/roster/src/proposer.rs
+++ b/crates/roster/src/proposer.rs
@@ -75,6 +75,8 @@
     answered: bool,
     /// And its vote counts.
     voted: bool,
+    /// It has a vote that does not count yet: it has just started. It is asked again while votes are missing.
+    unsure: bool,
     /// It has taken the decree up, so that it may go on serving under the one before.
     ready: bool,
     /// It wants all of the decree.
@@ -124,6 +126,7 @@
             not_before: now,
             answered: false,
             voted: false,
+            unsure: false,
             ready: false,
             wants: false,
             folder: 0,
@@ -179,6 +182,7 @@
         for p in &mut self.peers {
             // An answer to what the last phase asked may still come; it counts for nothing then.
             (p.answered, p.voted, p.asked, p.not_before, p.why) = (false, false, false, now, None);
+            p.unsure = false;
         }
     }
 
@@ -196,11 +200,13 @@
         };
         let value = self.value.clone();
         let still = self.base.roster.lease() / STILL;
-        let mut asks = Vec::new();
+        let (mut asks, missing) = (Vec::new(), self.enough.is_none());
         for (n, p) in self.peers.iter_mut().enumerate().filter(|(_, p)| !p.asked && p.not_before <= now) {
             let ask = match (&phase, &value) {
-                (Phase::Promising, _) if !p.answered => Ask::Promise { number, ballot, trial: trial.clone() },
-                (Phase::Accepting, Some((decree, _))) if !p.answered => {
+                (Phase::Promising, _) if !p.answered || p.unsure && missing => {
+                    Ask::Promise { number, ballot, trial: trial.clone() }
+                }
+                (Phase::Accepting, Some((decree, _))) if !p.answered || p.unsure && missing => {
                     Ask::Accept { ballot, decree: decree.clone() }
                 }
                 (Phase::Accepting, _) if p.answered => {
@@ -221,7 +227,9 @@
 
     /// When to ask again, at the latest, if nothing is heard.
     pub fn next(&self, now: Duration) -> Duration {
-        let due = self.peers.iter().filter(|p| !(p.asked || p.answered && self.phase != Phase::Accepting));
+        let again =
+            |p: &&Peer| !p.answered || self.phase == Phase::Accepting || p.unsure && self.enough.is_none();
+        let due = self.peers.iter().filter(|p| !p.asked).filter(again);
         let due = due.map(|p| p.not_before).chain(self.ready_at());
         due.min().map_or(self.base.roster.lease(), |at| at.saturating_sub(now))
     }
@@ -309,10 +317,13 @@
         }
         p.asked = false;
         let counts = |folder| roster.counts(&p.name, folder) || forming && folder != 0;
+        let votes = roster.seat(&p.name).is_some_and(|s| s.votes);
+        let unsure = |folder| votes && folder == 0;
         match (answer, asked) {
             (_, Ask::Still { .. }) => {}
             (Ok(Say::Promised { folder, accepted, own }), Ask::Promise { .. }) => {
                 (p.answered, p.voted, p.folder, p.own) = (true, counts(folder), folder, own);
+                (p.unsure, p.not_before) = (unsure(folder), now + again);
                 if p.voted && accepted.as_ref().is_some_and(|a| self.best.as_ref().is_none_or(|b| b.0 < a.0))
                 {
                     self.best = accepted;
@@ -320,6 +331,7 @@
             }
             (Ok(Say::Accepted { folder }), Ask::Accept { .. }) => {
                 (p.answered, p.ready, p.voted) = (true, true, counts(folder));
+                (p.unsure, p.not_before) = (unsure(folder), now + again);
             }
             (Ok(Say::Decided { folder, number: at }), Ask::Decided { .. }) if at >= number => {
                 (p.answered, p.voted) = (true, counts(folder));
@@ -342,10 +354,9 @@
                 p.not_before = now + again;
             }
             (Ok(Say::Outbid { ballot }), _) => self.end(End::Outbid(ballot)),
-            // Nothing has been decided yet: it ends here, and nothing has happened.
-            (Ok(Say::No { why } | Say::Unable { why }), Ask::Promise { .. })
-                if matches!(self.aim, Aim::Change(_)) =>
-            {
+            // Nothing has been decided yet: it ends here, and nothing has happened. One that could, but for its disk, is
+            // as good as away.
+            (Ok(Say::No { why }), Ask::Promise { .. }) if matches!(self.aim, Aim::Change(_)) => {
                 let refused = vec![(p.name.clone(), why)];
                 self.end(End::Refused(refused));
             }
