--- a/crates/config/tests/corpus.rs
+++ b/crates/config/tests/corpus.rs
@@ -162,3 +162,15 @@
     let want = wrenfork_config::schema::reference();
     assert!(have == want, "run: wrenctl config reference > docs/operators/configuration.md");
 }
+
+/// Guards against an example that is refused when an operator begins from it.
+#[test]
+fn the_examples_under_deploy_are_taken() {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    for (example, beside) in
+        [("roster.toml", vec![folder("good").join("site.toml")]), ("wrenfork.toml", Vec::new())]
+    {
+        let set = Set::read(beside.into_iter().chain([deploy.join(example)]));
+        assert!(!set.refused(), "{example}: {:?}", told(&set));
+    }
+}
--- a/crates/ctl/tests/group/main.rs
+++ b/crates/ctl/tests/group/main.rs
@@ -1,5 +1,6 @@
 //! Changes of policy at groups of real processes, with faults between them: each holds everywhere or nowhere.
 
+mod measure;
 mod site;
 
 use site::*;
