--- a/crates/ingress/tests/sidecar.rs
+++ b/crates/ingress/tests/sidecar.rs
@@ -36,10 +36,15 @@
     }
 
     fn start(&self, at: SocketAddr, more: &str) -> Ingress {
+        self.start_until(at, more, "+PONG")
+    }
+
+    /// Starts it, and waits until it answers a PING with that.
+    fn start_until(&self, at: SocketAddr, more: &str, answer: &str) -> Ingress {
         let ingress = Ingress::run("", at, &self.command(more));
         until("the sidecar is ready", || {
             std::net::TcpStream::connect(at)
-                .is_ok_and(|stream| Client(stream).ask(&command(&["PING"])) == "+PONG")
+                .is_ok_and(|stream| Client(stream).ask(&command(&["PING"])).starts_with(answer))
         });
         ingress
     }
@@ -129,17 +134,18 @@
     for name in names {
         let at = place();
         let text = good(&name).replace("127.0.0.1:7600", &at.to_string());
-        let two = name.contains("two-sidecars");
-        let text = text
-            .replace("127.0.0.1:7946", &place().to_string())
-            .replace("127.0.0.1:7947", &place().to_string());
+        // One of a group alone starts, and turns away what comes.
+        let (two, grouped) = (name.contains("two-sidecars"), name.contains("roster"));
+        let text = (7946..=7949)
+            .fold(text, |text, port| text.replace(&format!("127.0.0.1:{port}"), &place().to_string()));
         let own = tempfile::tempdir().unwrap();
         let text = text
             .replace("/run/desk", &own.path().display().to_string())
             .replace("/var/lib/desk", &own.path().join("state").display().to_string());
         let folder = Folder::new(&text, &[]);
         folder.write("fleet.json", &good("fleet.json"));
-        let mut ingress = folder.start(at, if two { "--sidecar desk-1" } else { "" });
+        let more = if two || grouped { "--sidecar desk-1" } else { "" };
+        let mut ingress = folder.start_until(at, more, if grouped { "-BUSY " } else { "+PONG" });
         ingress.signal("TERM");
         assert!(ingress.exit().success(), "{name}");
         started += 1;
