One type for what comes of a message, in place of two alike

The cause: the roster's Step was that of the control protocol written again. It is generic now and used by both; nothing else changed.

--- a/crates/control/src/participant.rs
+++ b/crates/control/src/participant.rs
@@ -77,18 +77,18 @@
     }
 }
 
-/// What comes of a message.
+/// What comes of a message, to whoever must remember an `M` and answers with an `S`.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum Step<M = Memory, S = Say> {
     /// The answer; nothing is to be remembered.
-    Say(Say),
-    /// This is to be remembered first: written, and told with [`Participant::written`]. Then the answer may go, and with
+    Say(S),
+    /// This is to be remembered first: written, and told with `written`. Then the answer may go, and with
     /// `switch` the new state is enforced in one step. If it can't be written, nothing has happened.
     Write {
         /// All that is to be remembered.
-        memory: Box<Memory>,
+        memory: Box<M>,
         /// The answer.
-        then: Say,
+        then: S,
         /// Whether the enforced state is another.
         switch: bool,
     },
--- a/crates/roster/src/acceptor.rs
+++ b/crates/roster/src/acceptor.rs
@@ -43,22 +43,8 @@
     }
 }
 
-/// What comes of a message.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// The answer; nothing is to be remembered.
-    Say(Say),
-    /// This is to be remembered first, then the answer may go; with `switch` another decree stands. If it can't be written,
-    /// nothing has happened.
-    Write {
-        /// All that is to be remembered.
-        memory: Box<Memory>,
-        /// The answer.
-        then: Say,
-        /// Whether another decree stands.
-        switch: bool,
-    },
-}
+/// What comes of a message; with `switch` another decree stands.
+pub type Step = wrenfork_control::participant::Step<Memory, Say>;
 
 /// A member's side.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
