Scenarios have groups: what = "link" fails control links from member to member

The issue wants the faults between members in scenario files as well, so that wrenctl fleet run plays them; until now only the tests of wrenctl had them.

A scenario with [group] (lease, alone) starts its ingresses as the sidecars of one application: the rig writes the files, keeps the folders through a restart and puts a relay on each ordered pair of control sockets. what = "link" with from, to, fault and for drops, refuses, resets, delays or opens one way only. What checked files have no words for (split peers, a moved discovery, accounts seen once) is refused with the reason. The rig took the -BUSY that a member without a lease gives to PING for the end of its looking, so that a group was never ready: it looks again now.

Left out: witnesses in scenarios, and platform ingresses as members, which an operator file has no roster for.

--- a/crates/fleet/src/rig/clients.rs
+++ b/crates/fleet/src/rig/clients.rs
@@ -391,6 +391,12 @@
             };
             c.pipe.inbox.drain(..size);
             let Some(key) = c.busy.take() else {
+                if c.usage == Use::Ping {
+                    // Turned away: it is there, and lets nobody in yet.
+                    let ingress = c.ingress;
+                    self.close(conn);
+                    return self.watch_for(ingress, context);
+                }
                 let last = c.last;
                 if matches!(c.usage, Use::Front | Use::Stay) && last != 0 {
                     context.see(Seen::Surplus(last));
--- a/crates/fleet/src/rig/context.rs
+++ b/crates/fleet/src/rig/context.rs
@@ -38,6 +38,7 @@
     Revive { slot: usize, new_name: bool },
     Replace { slot: usize, down: Micros },
     Stop { ingress: usize, down: Micros },
+    LinksWell { from: Vec<usize>, to: Vec<usize> },
 }
 
 struct Entry {
--- a/crates/fleet/src/rig/mod.rs
+++ b/crates/fleet/src/rig/mod.rs
@@ -7,6 +7,7 @@
 mod context;
 mod counter;
 mod discovery;
+mod group;
 mod peers;
 mod pipe;
 mod processes;
@@ -26,6 +27,7 @@
 use context::{owner, Context, Due, Part};
 use counter::Counter;
 use discovery::{AgentMode, Discovery, Line};
+use group::{Group, Place};
 use mio::{Events, Poll};
 use peers::Peers;
 use processes::{Ended, ProcessDue, Processes};
@@ -219,8 +221,7 @@
         let discovery = rig("cannot open discovery", Discovery::open(s, lines, &mut context))?;
         let peers = rig("cannot open the peers' relay", Peers::open(s, &mut context))?;
         let counter = rig("cannot open the count service", Counter::open(s, &mut context))?;
-        let processes = Processes::new(program, &s.ingresses, dir);
-        let (mut fronts, mut configs) = (Vec::new(), Vec::new());
+        let (mut fronts, mut configs, mut places) = (Vec::new(), Vec::new(), Vec::new());
         for (ingress, listen) in listens.iter().copied().enumerate() {
             let mut front = listen;
             if relayed(Leg::Clients, ingress) {
@@ -234,11 +235,14 @@
                 agent = rig("cannot open a relay", relay)?;
             }
             let peers = rig("cannot open the peers' relay", peers.addresses(ingress))?;
+            places.push(Place { listen, discovery: agent, peers: peers.0 });
             let (_, known) = discovery.known(ingress, None);
             let counter = counter.as_ref().map(|c| c.address(ingress));
             let at = Addresses { listen, discovery: agent, peers, counter };
             configs.push(told::config(s, ingress, &at, &known));
         }
+        let group = s.group.as_ref().map(|g| Group::open(s, g, &places, dir)).transpose();
+        let processes = Processes::new(program, &s.ingresses, rig("cannot set up the group", group)?, dir);
         discovery.told_at_start(&mut context);
         let now = context.now;
         let mut rig = Rig {
@@ -479,6 +483,7 @@
                 let die = Later::Die { slot, down, new_name: true };
                 self.context.after(DRAINED, Due::Later(die));
             }
+            Later::LinksWell { from, to } => self.processes.link(&from, &to, None),
             Later::Stop { ingress, down } => {
                 self.processes.stop(ingress, Some(down), &mut self.context);
                 self.clients.leaving(ingress, &mut self.context);
@@ -571,6 +576,10 @@
             Fault::Hostile { ingresses, count, manner, lasts } => {
                 ingresses.into_iter().for_each(|i| self.clients.hostile(i, count, manner, lasts, context));
             }
+            Fault::Link { from, to, fault, lasts } => {
+                self.processes.link(&from, &to, Some(fault));
+                context.after(lasts, Due::Later(Later::LinksWell { from, to }));
+            }
             Fault::Counter { fault, lasts } => {
                 if let Some(counter) = &mut self.counter {
                     counter.fail(fault, lasts, context);
--- a/crates/fleet/src/rig/processes.rs
+++ b/crates/fleet/src/rig/processes.rs
@@ -1,7 +1,8 @@
 //! The ingress processes: started, limited, stopped, killed and measured from outside, without privileges.
 
 use super::context::{Context, Due};
-use crate::scenario::{Ingresses, Micros, SECOND};
+use super::group::Group;
+use crate::scenario::{Ingresses, LinkFault, Micros, SECOND};
 use rustix::process::{Pid, Signal};
 use std::fs::{self, File};
 use std::io;
@@ -72,6 +73,7 @@
 /// All ingress processes. They end with it, whatever becomes of the rig.
 pub struct Processes {
     program: PathBuf,
+    group: Option<Group>,
     limits: Ingresses,
     list: Vec<Process>,
     dir: PathBuf,
@@ -85,7 +87,7 @@
 
 impl Processes {
     /// None is started yet. Files of the ingresses go into `dir`.
-    pub fn new(program: &Path, limits: &Ingresses, dir: &Path) -> Self {
+    pub fn new(program: &Path, limits: &Ingresses, group: Option<Group>, dir: &Path) -> Self {
         let cores = std::thread::available_parallelism().map_or(1, usize::from);
         let list = (0..limits.count).map(|n| Process {
             config: dir.join(format!("ingress-{n}.json")),
@@ -103,6 +105,7 @@
         });
         Processes {
             program: program.to_path_buf(),
+            group,
             limits: limits.clone(),
             list: list.collect(),
             dir: dir.to_path_buf(),
@@ -134,11 +137,12 @@
         let p = &mut self.list[ingress];
         let log = File::options().create(true).append(true).open(&p.log)?;
         // The shell sets the limits and is replaced by the program.
-        let script = r#"ulimit -n "$1" && ulimit -v "$2" && exec "$3""#;
+        let script = r#"ulimit -n "$1" && ulimit -v "$2" && shift 2 && exec "$@""#;
         let kilobytes = u64::from(self.limits.memory_mb) * 1024 + 64 * 1024;
         let mut command = Command::new("/bin/sh");
         command.args(["-c", script, "ingress", &self.limits.descriptors.to_string(), &kilobytes.to_string()]);
-        command.arg(&self.program).env("LB_CONFIG", &p.config);
+        command.arg(&self.program).args(self.group.iter().flat_map(|g| g.arguments(ingress)));
+        command.env("LB_CONFIG", &p.config);
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
@@ -159,6 +163,11 @@
         Ok(())
     }
 
+    /// Has the links from some ingresses to others fail, or be well, where they are a group.
+    pub fn link(&self, from: &[usize], to: &[usize], fault: Option<LinkFault>) {
+        self.group.iter().for_each(|g| g.fail(from, to, fault));
+    }
+
     /// Whether an ingress's process runs.
     pub fn runs(&self, ingress: usize) -> bool {
         self.list[ingress].child.is_some()
--- a/crates/fleet/src/scenario/file.rs
+++ b/crates/fleet/src/scenario/file.rs
@@ -14,6 +14,7 @@
 const MOST_INGRESSES: u16 = 64;
 const MOST_BACKENDS: usize = 2_000;
 const MOST_ACCOUNTS: u32 = 2_000_000;
+const MOST_LISTED: u32 = 10_000;
 const MOST_RATE: f64 = 20_000.0;
 const LONGEST: Micros = 3_600 * SECOND;
 
@@ -71,6 +72,7 @@
     #[serde(default)]
     network: NetworkTable,
     ingresses: Spanned<IngressTable>,
+    group: Option<Spanned<GroupTable>>,
     clients: Spanned<ClientTable>,
     class: Vec<Spanned<ClassTable>>,
     plan: Vec<Spanned<PlanTable>>,
@@ -131,6 +133,19 @@
     port: Option<u16>,
 }
 
+/// That the ingresses are sidecars that decide together.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GroupTable {
+    lease: Span,
+    #[serde(default = "refuse")]
+    alone: String,
+}
+
+fn refuse() -> String {
+    "refuse".into()
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ClientTable {
@@ -283,6 +298,8 @@
     pub network: Network,
     /// The ingresses.
     pub ingresses: Ingresses,
+    /// What makes them a group; none where each serves for itself.
+    pub group: Option<Group>,
     /// The clients.
     pub clients: Clients,
     /// The classes of requests.
@@ -348,6 +365,15 @@
     pub port: Option<u16>,
 }
 
+/// What makes the ingresses a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// How long one may serve on the word of a majority.
+    pub lease: Micros,
+    /// Whether one without a lease serves on.
+    pub as_known: bool,
+}
+
 /// The clients and the front before the ingresses.
 #[derive(Clone, Debug)]
 pub struct Clients {
@@ -624,6 +650,8 @@
         c.want((1..=MOST_BACKENDS).contains(&count), top.clone(), "there are 1 to 2000 [[backends]] in all");
         c.want((1..=8).contains(&classes.len()), top.clone(), "there are 1 to 8 [[class]]es");
         c.want((1..=8).contains(&plans.len()), top, "there are 1 to 8 [[plan]]s");
+        let grouped = self.group.is_some();
+        let group = self.group.map(|t| check_group(t, &network, reports, &i, &clients, &plans, c));
         let lasts = self.lasts.get_ref().0;
         let mut steps: Vec<Step> = Vec::new();
         for row in self.at {
@@ -632,9 +660,26 @@
             let counts = step.as_ref().is_some_and(|s| matches!(s.fault, Fault::Counter { .. }));
             c.want(
                 !counts || counter.is_some(),
-                span,
+                span.clone(),
                 "there is no count service: network.counter is not given",
             );
+            let fault = step.as_ref().map(|s| &s.fault);
+            let linked = matches!(fault, Some(Fault::Link { .. }));
+            c.want(!linked || grouped, span.clone(), "there are no links: [group] is not given");
+            let other = matches!(
+                fault,
+                Some(
+                    Fault::Move { .. }
+                        | Fault::Split { .. }
+                        | Fault::Lossy { .. }
+                        | Fault::Hot { .. }
+                        | Fault::Scan { .. }
+                )
+            );
+            let reason =
+                "a group's members are told by checked files: their peers, their discovery and their \
+                          accounts are as they stand there";
+            c.want(!other || !grouped, span, reason);
             steps.extend(step);
         }
         steps.sort_by_key(|s| s.at);
@@ -663,6 +708,7 @@
                 descriptors: i.descriptors,
                 port: i.port,
             },
+            group,
             clients,
             classes,
             plans,
@@ -709,6 +755,32 @@
     }
 }
 
+/// A group's members are told by files, which have no words for all that a scenario may want.
+fn check_group(
+    table: Spanned<GroupTable>,
+    network: &NetworkTable,
+    reports: Reports,
+    i: &IngressTable,
+    clients: &Clients,
+    plans: &[Plan],
+    c: &mut Checks,
+) -> Group {
+    let span = table.span();
+    let t = table.into_inner();
+    let mut want = |good: bool, reason: &str| c.want(good, span.clone(), reason);
+    let lease = t.lease.0;
+    want((SECOND * 3 / 10..=60 * SECOND).contains(&lease), "lease is from 300ms to 60s");
+    want(["refuse", "as-known"].contains(&t.alone.as_str()), "alone is \"refuse\" or \"as-known\"");
+    want(i.count >= 3, "the ingresses decide by majority: count is 3 at the least");
+    want(clients.accounts <= MOST_LISTED, "a group's accounts are listed one by one: 10000 at the most");
+    want(
+        network.peers && network.weights && reports == Reports::Answers && network.counter.is_none(),
+        "a group has peers, weights and reports in answers, and no count service",
+    );
+    want(plans.iter().all(|p| p.rate > 0.0 && p.open == 0), "a group's plans have a rate, and no `open`");
+    Group { lease, as_known: t.alone == "as-known" }
+}
+
 fn check_class(table: Spanned<ClassTable>, c: &mut Checks) -> Class {
     let span = table.span();
     let t = table.into_inner();
--- a/crates/fleet/src/scenario/timetable.rs
+++ b/crates/fleet/src/scenario/timetable.rs
@@ -32,6 +32,9 @@
     count: Option<Spanned<u32>>,
     manner: Option<Spanned<String>>,
     leg: Option<Spanned<String>>,
+    from: Option<Spanned<OneOrMore>>,
+    to: Option<Spanned<OneOrMore>>,
+    fault: Option<Spanned<String>>,
 }
 
 /// A number from 0, or a list of them.
@@ -121,6 +124,21 @@
     Gone,
 }
 
+/// How a link from one member of a group that asks to another that answers fails. See [`crate::links::Fault`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Silence both ways.
+    Dropped,
+    /// Connections end at once.
+    Refused,
+    /// A connection ends once so many bytes were asked over it.
+    Reset(u32),
+    /// All that passes is late by so much.
+    Late(Micros),
+    /// Asks arrive, answers don't.
+    OneWay,
+}
+
 /// What goes wrong. Lists name ingresses or backends by their number, from 0; `lasts`, `down`, `every` and `delay` are
 /// spans of time.
 #[allow(missing_docs)] // each field is explained with its variant
@@ -178,6 +196,8 @@
     Hostile { ingresses: Vec<usize>, count: u32, manner: Manner, lasts: Micros },
     /// A leg of the way fails.
     Leg { leg: Leg, fault: LegFault, ingresses: Vec<usize>, lasts: Micros },
+    /// Links from members that ask to members that answer fail.
+    Link { from: Vec<usize>, to: Vec<usize>, fault: LinkFault, lasts: Micros },
     /// The count service fails.
     Counter { fault: CounterFault, lasts: Micros },
 }
@@ -212,6 +232,7 @@
     ("leg-silent", &["leg", "for"], &["ingress"]),
     ("leg-reset", &["leg", "for"], &["ingress"]),
     ("leg-slow", &["leg", "delay", "for"], &["ingress"]),
+    ("link", &["from", "to", "fault", "for"], &["byte", "delay"]),
     ("counter-silent", &["for"], &[]),
     ("counter-busy", &["for"], &[]),
     ("counter-slow", &["delay", "for"], &[]),
@@ -245,7 +266,7 @@
         note!("ingress" => ingress, "backend" => backend, "share" => share, "for" => lasts, "down" => down,
               "delay" => delay, "every" => every, "byte" => byte, "factor" => factor, "cores" => cores,
               "rate" => rate, "loss" => loss, "repeat" => repeat, "accounts" => accounts, "count" => count,
-              "manner" => manner, "leg" => leg);
+              "manner" => manner, "leg" => leg, "from" => from, "to" => to, "fault" => fault);
         let takes_backends = needs.contains(&"backend");
         for (key, span) in &given {
             let fits = needs.contains(key) || may.contains(key) || (*key == "share" && takes_backends);
@@ -279,6 +300,10 @@
             numbers.into_iter().map(|n| n as usize).filter(|n| *n < count).collect::<Vec<_>>()
         };
         let on = list(&self.ingress, usize::from(ingresses), "ingress");
+        let (from, to) = (
+            list(&self.from, usize::from(ingresses), "ingress"),
+            list(&self.to, usize::from(ingresses), "ingress"),
+        );
         let mut of = list(&self.backend, backends, "backend");
         if let Some(share) = &self.share {
             if self.backend.is_some() || !(0.0..=1.0).contains(share.get_ref()) {
@@ -329,6 +354,15 @@
                 return None;
             }
         };
+        let needed = match self.fault.as_ref().map(|f| f.get_ref().as_str()) {
+            Some("reset") => Some(("byte", self.byte.is_some())),
+            Some("late") => Some(("delay", self.delay.is_some())),
+            _ => None,
+        };
+        if let (Some((key, false)), Some(fault)) = (needed, &self.fault) {
+            c.wrong(fault.span(), format!("this fault needs {key}"));
+            good = false;
+        }
         if !good {
             return None;
         }
@@ -336,7 +370,19 @@
         let lasts = span(&self.lasts, 0);
         let (delay, every) = (span(&self.delay, 0), span(&self.every, 0));
         let down = span(&self.down, SECOND / 2);
+        let link = match self.fault.as_ref().map(|f| (f.get_ref().as_str(), f.span())) {
+            None | Some(("dropped", _)) => LinkFault::Dropped,
+            Some(("refused", _)) => LinkFault::Refused,
+            Some(("reset", _)) => LinkFault::Reset(self.byte.as_ref().map_or(0, |b| *b.get_ref())),
+            Some(("late", _)) => LinkFault::Late(delay),
+            Some(("one-way", _)) => LinkFault::OneWay,
+            Some((other, span)) => {
+                c.wrong(span, format!("a fault is dropped, refused, reset, late or one-way, not {other}"));
+                return None;
+            }
+        };
         let fault = match what {
+            "link" => Fault::Link { from, to, fault: link, lasts },
             "kill" => Fault::Kill { ingresses: on, down: self.down.as_ref().map(|s| s.get_ref().0) },
             "restart" => Fault::Restart { ingresses: on, every, down },
             "freeze" => Fault::Freeze { ingresses: on, lasts },
@@ -442,6 +488,9 @@
             Fault::Hostile { ingresses: i, count, manner, .. } => {
                 write!(f, "{count} hostile clients ({manner:?}) at ingress {}", n(i))
             }
+            Fault::Link { from, to, fault, lasts } => {
+                write!(f, "the links from {} to {} fail ({fault:?}) for {} s", n(from), n(to), s(lasts))
+            }
             Fault::Counter { fault, lasts } => {
                 write!(f, "the count service fails ({fault:?}) for {} s", s(lasts))
             }
--- a/crates/fleet/tests/files.rs
+++ b/crates/fleet/tests/files.rs
@@ -41,6 +41,15 @@
     ("count = 3\n", "count = 0\n", "[ingresses]", "count is from 1 to 64"),
     ("count = 3\n", "count = 3\ncores = -1\n", "[ingresses]", "cores is above 0"),
     ("count = 3\n", "count = 3\nport = 65534\n", "[ingresses]", "port leaves no room"),
+    ("count = 3\n", "count = 2\n[group]\nlease = \"900ms\"\n", "[group]", "3 at the least"),
+    ("count = 3\n", "count = 3\n[group]\nlease = \"9ms\"\n", "[group]", "from 300ms"),
+    ("count = 3\n", "count = 3\n[group]\nlease = \"1s\"\nalone = \"x\"\n", "[group]", "as-known"),
+    (
+        "count = 3\n",
+        "count = 3\n[group]\nlease = \"1s\"\n[[at]]\nat = \"1s\"\nwhat = \"split\"\nfor = \"1s\"\n",
+        "[[at]]",
+        "checked files",
+    ),
     ("rate = 150", "rate = -1", "[clients]", "rate is above 0"),
     ("rate = 150", "rate = \"fast\"", "rate", "invalid type"),
     ("accounts = 400", "accounts = 0", "[clients]", "accounts is from 1"),
@@ -94,6 +103,22 @@
     ("at = \"1s\"\nwhat = \"lossy\"\nloss = 1.5\nfor = \"1s\"", "loss", "from 0 to 1"),
     ("at = \"1s\"\nwhat = \"hot\"\naccounts = 0\nrate = 1\nfor = \"1s\"", "accounts", "from 1 to 1000"),
     ("at = \"1s\"\nwhat = \"kill\"\ningress = 0\nwhen = 1", "when", "unknown field"),
+    (
+        "at = \"1s\"\nwhat = \"link\"\nfrom = 0\nto = 1\nfault = \"dropped\"\nfor = \"1s\"",
+        "[[at]]",
+        "[group] is not given",
+    ),
+    ("at = \"1s\"\nwhat = \"link\"\nfrom = 0\nfault = \"dropped\"\nfor = \"1s\"", "what", "needs to"),
+    (
+        "at = \"1s\"\nwhat = \"link\"\nfrom = 0\nto = 1\nfault = \"late\"\nfor = \"1s\"",
+        "fault",
+        "needs delay",
+    ),
+    (
+        "at = \"1s\"\nwhat = \"link\"\nfrom = 0\nto = 1\nfault = \"slow\"\nfor = \"1s\"",
+        "fault",
+        "dropped, refused",
+    ),
     ("at = \"1s\"\nwhat = \"split\"\nfor = \"2h\"", "for", "a number with ms, s or m"),
 ];
 
--- a/crates/ingress/tests/scenarios.rs
+++ b/crates/ingress/tests/scenarios.rs
@@ -40,3 +40,25 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// Guards against links of a scenario that fail in words alone: members that hear of no other turn requests away once their
+/// leases have run out, and serve again.
+#[test]
+fn a_group_cut_apart_turns_requests_away_and_serves_again() {
+    let calm = include_str!("../../fleet/scenarios/calm.toml");
+    let grouped = calm.replacen("count = 3\n", "count = 3\n\n[group]\nlease = \"600ms\"\n", 1);
+    let fault = "\n[[at]]\nat = \"500ms\"\nwhat = \"link\"\nfrom = [0, 1, 2]\nto = [0, 1, 2]\nfault = \"dropped\"\nfor = \"2s\"\n";
+    let program = Path::new(env!("CARGO_BIN_EXE_wrenfork"));
+    let [whole, cut] = [grouped.clone(), grouped + fault].map(|text| {
+        let scenario = Scenario::parse("group.toml", &text).unwrap_or_else(|found| panic!("{}", found[0]));
+        let played = (0..TRIES).map(|_| {
+            let stop = AtomicBool::new(false);
+            play(&scenario, Run { program, stop: &stop, watch: None }).unwrap_or_else(|e| panic!("{e}"))
+        });
+        let report = played.into_iter().find(|r| r.verdict != Verdict::Late).expect("a run in time");
+        assert_eq!(report.verdict, Verdict::Held, "{:?} {:?}", report.violations, report.crashes);
+        report
+    });
+    assert!(cut.refused > whole.refused + 20, "{} and {} refused", whole.refused, cut.refused);
+    assert!(cut.served > 150, "{} served, {} refused", cut.served, cut.refused);
+}
