A change with some of 20 away waits for leases once, not twice

A member may learn from another one that a decree is decided before the proposer tells it. It then answered without the ballot from which it had made the switch, counted as one that may have heeded somebody else, and the proposer waited for all leases once more.

The ballot is remembered with the switch and said whoever told it first: what it vouches for, that no other proposer had a word there in between, does not depend on the teller. It is not on disk: after a restart the proposer waits, as before. To count such members as clean without their word was ruled out: one that had accepted a higher ballot would count too.

--- a/crates/keeper/src/ledger.rs
+++ b/crates/keeper/src/ledger.rs
@@ -170,7 +170,8 @@
         let accepted = stored.accepted.as_ref().map(|(ballot, d)| Ok((*ballot, decree(d)?)));
         let accepted = accepted.transpose().map_err(|e: String| e)?;
         let decree = stored.decree.as_ref().map(decree).transpose()?;
-        Ok(Some(Member { name, folder, writes, decree, promised, accepted }))
+        // From which ballot the switch was made is not kept: whoever asks after a restart waits for leases instead.
+        Ok(Some(Member { name, folder, writes, decree, from: None, promised, accepted }))
     }
 
     /// Keeps what a member of a group must not forget, with what is enforced where that changes, and a record; all or nothing.
--- a/crates/roster/src/acceptor.rs
+++ b/crates/roster/src/acceptor.rs
@@ -19,6 +19,9 @@
     pub writes: u64,
     /// What stands; none before the group has been formed.
     pub decree: Option<Arc<Decree>>,
+    /// The ballot from which it made the switch to that, where it had taken it up before.
+    #[serde(default)]
+    pub from: Option<Ballot>,
     /// The highest ballot for the next decree that it takes part in.
     pub promised: Ballot,
     /// The next decree, taken up but not decided yet as far as is known here.
@@ -150,7 +153,9 @@
         let m = &self.memory;
         let then = |number, from| Say::Decided { folder: m.folder, number, from };
         if number <= m.number() {
-            return Step::Say(then(m.number(), None));
+            // It may have learnt it from another member a moment before: that changes nothing about whom it has heeded.
+            let same = m.decree.as_ref().is_some_and(|d| d.digest == *digest);
+            return Step::Say(then(m.number(), m.from.filter(|_| same)));
         }
         let known = m.accepted.as_ref().filter(|(_, d)| d.number == number && d.digest == *digest);
         let from = known.map(|a| a.0);
@@ -163,7 +168,7 @@
             return no(why);
         }
         let (folder, writes) = (m.folder, m.writes);
-        let memory = Memory { folder, writes, decree: Some(decree), ..Memory::fresh(&m.name, folder) };
+        let memory = Memory { folder, writes, decree: Some(decree), from, ..Memory::fresh(&m.name, folder) };
         self.write(memory, then(number, from), true)
     }
 
@@ -220,3 +225,46 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::decree::Policy;
+    use crate::seats::{Kind, Seat};
+
+    fn written(acceptor: &mut Acceptor, ask: Ask) -> Say {
+        match acceptor.take(ask, Ok(()), |_| Ok(())) {
+            Step::Write { memory, then, .. } => {
+                acceptor.written(*memory);
+                then
+            }
+            Step::Say(say) => say,
+        }
+    }
+
+    /// Guards against a change that waits for leases twice: a member that has taken it up may learn from another one that it is
+    /// decided, before whoever proposed it says so; it has heeded nobody else all the same.
+    #[test]
+    fn one_that_learnt_it_elsewhere_still_says_from_which_ballot_it_made_the_switch() {
+        let seat = Seat { name: "a".into(), folder: 1, kind: Kind::Ingress, votes: true };
+        let roster = Roster::new(1, 1_500, vec![seat]).unwrap();
+        let first = Arc::new(Decree::new(1, 1, Digest::default(), "", roster, Policy::default()));
+        let next = Arc::new(first.nothing());
+        let memory = Memory { decree: Some(first), ..Memory::fresh("a", 1) };
+        let mut acceptor = Acceptor::new(memory, None);
+        let ballot = Ballot { round: 3, by: 7 };
+        assert_eq!(
+            written(&mut acceptor, Ask::Accept { ballot, decree: next.clone() }),
+            Say::Accepted { folder: 1 }
+        );
+        let told = |decree| Ask::Decided { number: 2, digest: next.digest.clone(), decree };
+        let from = |say| match say {
+            Say::Decided { number: 2, from, .. } => from,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(from(written(&mut acceptor, told(Some(next.clone())))), Some(ballot), "by another member");
+        assert_eq!(from(written(&mut acceptor, told(None))), Some(ballot), "by whoever proposed it");
+        let other = Ask::Decided { number: 2, digest: Digest::of(b"another"), decree: None };
+        assert_eq!(from(written(&mut acceptor, other)), None);
+    }
+}
