--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -68,7 +68,7 @@
 }
 
 /// Whether a target still enforces what the plan was made from.
-fn still(plan: &Plan, target: &Target, enforces: &Generation) -> Result<(), String> {
+pub fn still(plan: &Plan, target: &Target, enforces: &Generation) -> Result<(), String> {
     if *enforces == target.base {
         return Ok(());
     }
@@ -112,10 +112,10 @@
 }
 
 /// A group's part of a plan, with its members' sockets.
-type Part<'a> = (&'a BTreeMap<String, String>, Plan);
+pub type Part<'a> = (&'a BTreeMap<String, String>, Plan);
 
 /// A plan's parts: that of each group, with its members' sockets, and that of ingresses which decide each for itself.
-fn parts(plan: &Plan) -> (Vec<Part<'_>>, Plan) {
+pub fn parts(plan: &Plan) -> (Vec<Part<'_>>, Plan) {
     let of = |group: &BTreeMap<String, String>| plan.only(|t| group.contains_key(&t.ingress));
     let groups = plan.groups.iter().map(|group| (group, of(group))).collect();
     (groups, plan.only(|t| plan.groups.iter().all(|g| !g.contains_key(&t.ingress))))
@@ -145,6 +145,12 @@
             states.insert(seat.name.clone(), Arc::new(state));
         }
     }
+    if let Some(rollout) = stands.rollout.as_ref().filter(|r| !r.phase.ended()) {
+        return Err(format!(
+            "a rollout by {} is under way ({}): wait for its end, or wrenctl rollout stop",
+            rollout.author, rollout.phase
+        ));
+    }
     let (number, policy) = (stands.number + 1, Policy::of(&states));
     Ok(Decree::new(number, part.generation, part.id(), &part.author, stands.roster.clone(), policy))
 }
--- a/crates/ctl/src/change/mod.rs
+++ b/crates/ctl/src/change/mod.rs
@@ -25,7 +25,7 @@
 }
 
 /// The time, in microseconds of Unix time. It is also what tells one applier, and one plan, from another.
-fn micros() -> u64 {
+pub fn micros() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
 }
 
--- a/crates/ctl/src/group/witness.rs
+++ b/crates/ctl/src/group/witness.rs
@@ -15,6 +15,7 @@
 use wrenfork_keeper::group::{Alone, Membership};
 use wrenfork_keeper::ledger::Ledger;
 use wrenfork_keeper::{socket, Enforcer, Keeper};
+use wrenfork_rollout::tally::Tally;
 
 /// The most bytes of a message: a decree has the whole policy, some hundred thousand accounts at most.
 const MOST: usize = 64 << 20;
@@ -51,6 +52,10 @@
         Figures::default()
     }
 
+    fn tally(&self) -> Tally {
+        Tally::default()
+    }
+
     fn log(&self, record: &Record) {
         let Record { what, author, change, generation, why, .. } = record;
         let why = if why.is_empty() { String::new() } else { format!(": {why}") };
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod keys;
 mod reload;
+mod rollout;
 mod route;
 mod style;
 
@@ -47,6 +48,9 @@
     /// Who belongs to a group that decides changes by a majority
     #[command(subcommand)]
     Roster(group::roster::Verb),
+    /// A planned change that goes through a group in stages, judged while old and new serve side by side
+    #[command(subcommand)]
+    Rollout(rollout::Verb),
     /// Runs a member of a group that keeps promises and serves nobody
     Witness(group::witness::Options),
     /// Tells who planned, applied and rolled back what
@@ -65,6 +69,7 @@
         Verb::Reload(options) => reload::main(&options),
         Verb::Status(options) => group::status::main(&options),
         Verb::Roster(verb) => group::roster::main(&verb),
+        Verb::Rollout(verb) => rollout::main(&verb),
         Verb::Witness(options) => group::witness::main(&options),
         Verb::History(options) => change::history::main(&options),
     }
--- /dev/null
+++ b/crates/ctl/src/rollout/make.rs
@@ -0,0 +1,197 @@
+//! Begins a rollout, and has it take a step that somebody wants.
+
+use super::terms;
+use super::{Begin, Change};
+use crate::change::apply::{meant, parts, still};
+use crate::change::{folder, micros, UNFINISHED};
+use crate::group::decide::{decide, tell, Outcome, Wanted};
+use crate::group::look::look;
+use crate::group::{sockets, Sockets};
+use crate::style;
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Duration;
+use wrenfork_control::plan::Plan;
+use wrenfork_keeper::client;
+use wrenfork_rollout::record::{change, Phase, Record};
+use wrenfork_rollout::stages::stages;
+use wrenfork_rollout::tally::Tally;
+use wrenfork_roster::decree::Decree;
+use wrenfork_roster::protocol::{Ask, Say};
+
+/// How long a member may take to tell what it counted.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// What each member tells of itself, all asked at once.
+pub fn tallies(at: &Sockets, names: &[String]) -> BTreeMap<String, Result<Tally, String>> {
+    let ask = |name: &String| match at.get(name) {
+        None => Err("nothing says where its socket is".to_string()),
+        Some(path) => match client::ask(path, &Ask::Tally, PATIENCE)? {
+            Say::Tallied(tally) => Ok(*tally),
+            Say::No { why } => Err(why),
+            _ => Err("it answers something else".into()),
+        },
+    };
+    std::thread::scope(|scope| {
+        let asked: Vec<_> = names.iter().map(|name| (name, scope.spawn(move || ask(name)))).collect();
+        let told = |one: std::thread::ScopedJoinHandle<'_, _>| {
+            one.join().unwrap_or_else(|_| Err("the ask ended".into()))
+        };
+        asked.into_iter().map(|(name, one)| (name.clone(), told(one))).collect()
+    })
+}
+
+/// The rollout that a plan begins behind what stands.
+fn record(
+    part: &Plan,
+    stands: &Decree,
+    begin: &Begin,
+    halls: &BTreeMap<String, String>,
+) -> Result<Record, String> {
+    let (reach, terms) = terms::read(&begin.terms)?;
+    let (mut changes, mut of) = (Vec::new(), BTreeMap::new());
+    for target in &part.targets {
+        let name = &target.ingress;
+        let (enforces, state) = stands
+            .at(name)
+            .ok_or_else(|| format!("{name}: it is not in the roster any more: make the plan anew"))?;
+        still(part, target, &enforces).map_err(|why| format!("{name}: {why}"))?;
+        let wanted = part.states.get(&target.wanted).ok_or("the plan has no such state")?;
+        let change = change(&state, wanted);
+        let place = changes.iter().position(|c| *c == change).unwrap_or_else(|| {
+            changes.push(change);
+            changes.len() - 1
+        });
+        of.insert(name.clone(), place);
+    }
+    if let Some(name) = stands.policy.own.keys().find(|name| !of.contains_key(*name)) {
+        return Err(format!("{name} has come into the roster since the plan was made: make it anew"));
+    }
+    let (id, author) = (part.id(), part.author.clone());
+    let stages = stages(&id, &reach, halls)?;
+    let record =
+        Record { id, author, terms, stages, changes, of, phase: Phase::On { stage: 0 }, why: String::new() };
+    record.check()?;
+    Ok(record)
+}
+
+/// Shows a rollout before it begins, and begins it.
+pub fn begin(begin: &Begin, start: bool) -> Result<ExitCode, String> {
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", begin.plan.display());
+    let text = std::fs::read_to_string(&begin.plan).map_err(|e| told(&e))?;
+    let plan = Plan::read(&text).map_err(|e| told(&e))?;
+    plan.still_good(micros()).map_err(|e| told(&e))?;
+    let (groups, rest) = parts(&plan);
+    let [(members, part)] = &groups[..] else {
+        return Err(format!("a rollout goes through one group, and the plan has {}", groups.len()));
+    };
+    if let Some(target) = rest.targets.first() {
+        return Err(format!("{} belongs to no group: its change is made by wrenctl apply", target.ingress));
+    }
+    let at = sockets(members);
+    let stands = look(&at)?.known()?;
+    let names: Vec<String> = stands.policy.own.keys().cloned().collect();
+    // A member that is away stands in no hall that is known; it has its stage like all others.
+    let halls: BTreeMap<String, String> = tallies(&at, &names)
+        .into_iter()
+        .map(|(name, tally)| (name, tally.map(|t| t.hall).unwrap_or_default()))
+        .collect();
+    let first = record(part, &stands, begin, &halls)?;
+    stages_of(&first, &halls);
+    if !start {
+        return Ok(ExitCode::SUCCESS);
+    }
+    meant(begin.yes)?;
+    let wanted = |stands: &Decree| stands.rolled(&part.author, record(part, stands, begin, &halls)?);
+    let wanted = |stands: &Decree| wanted(stands).and_then(|next| stands.rolls_on(&next).map(|()| next));
+    Ok(end("stage 1", decide(&at, &Wanted::Decree(&wanted), begin.patience)))
+}
+
+fn end(what: &str, outcome: Outcome) -> ExitCode {
+    tell(what, &outcome);
+    match outcome {
+        Outcome::Made(..) => ExitCode::SUCCESS,
+        Outcome::Refused(_) => ExitCode::FAILURE,
+        Outcome::Unfinished => ExitCode::from(UNFINISHED),
+    }
+}
+
+/// Who gets the new one when.
+fn stages_of(record: &Record, halls: &BTreeMap<String, String>) {
+    let mut table = style::table(&["stage", "members", "halls", "they are"]);
+    for (n, stage) in record.stages.iter().enumerate() {
+        let mut in_halls: Vec<&str> = stage.iter().filter_map(|s| halls.get(s)).map(String::as_str).collect();
+        in_halls.sort_unstable();
+        in_halls.dedup();
+        let shown = stage.iter().take(6).cloned().collect::<Vec<_>>().join(", ");
+        let more = if stage.len() > 6 { format!(" and {} more", stage.len() - 6) } else { String::new() };
+        let (n, many) = ((n + 1).to_string(), stage.len().to_string());
+        table.add_row(vec![n, many, in_halls.join(", "), format!("{shown}{more}")]);
+    }
+    anstream::println!("{table}");
+    let t = &record.terms;
+    anstream::println!(
+        "each watched for {} s at the least; a loss of {:.1}% of the worth is found, an equal stopped in {:.1} of 100; {} \
+         may be away",
+        t.watch_ms / 1_000,
+        t.worse() * 100.0,
+        t.error() * 100.0,
+        t.away
+    );
+}
+
+/// Holds it.
+pub fn held(record: &Record) -> Result<Record, String> {
+    match record.phase {
+        Phase::On { stage } => Ok(record.at(Phase::Held { stage }, "")),
+        _ => Err(format!("it can't be held: {}", record.phase)),
+    }
+}
+
+/// Lets it go on.
+pub fn resumed(record: &Record) -> Result<Record, String> {
+    match record.phase {
+        Phase::Held { stage } => Ok(record.at(Phase::On { stage }, "")),
+        _ => Err(format!("it is not held: {}", record.phase)),
+    }
+}
+
+/// Stops it.
+pub fn stopped(record: &Record, at_once: bool, why: &str) -> Result<Record, String> {
+    match record.phase {
+        Phase::On { .. } | Phase::Held { .. } => Ok(record.stopped(at_once, why)),
+        Phase::Back { .. } if at_once => Ok(record.at(Phase::Stopped, why)),
+        _ => Err(format!("it is not to be stopped any more: {}", record.phase)),
+    }
+}
+
+/// Has the rollout of a folder's group take a step.
+pub fn step(
+    change: &Change,
+    what: &str,
+    step: &dyn Fn(&Record) -> Result<Record, String>,
+) -> Result<ExitCode, String> {
+    let files = folder::read(&change.folder).map_err(|_| String::new())?;
+    let mut under_way = Vec::new();
+    for group in files.groups.values() {
+        let at = group.links("");
+        let stands = look(&at)?.known()?;
+        if stands.rollout.as_ref().is_some_and(|r| !r.phase.ended()) {
+            under_way.push(at);
+        }
+    }
+    let [at] = &under_way[..] else {
+        return Err(match under_way.len() {
+            0 => "no rollout is under way".into(),
+            _ => "several groups have a rollout under way: name the folder of one application".into(),
+        });
+    };
+    let author = crate::change::author(None);
+    let wanted = |stands: &Decree| {
+        let record = stands.rollout.as_deref().ok_or("no rollout is under way")?;
+        let next = step(record)?;
+        let why = if next.why.is_empty() { change.why.clone() } else { next.why.clone() };
+        stands.rolled(&author, Record { why, ..next })
+    };
+    Ok(end(what, decide(at, &Wanted::Decree(&wanted), change.patience)))
+}
--- /dev/null
+++ b/crates/ctl/src/rollout/mod.rs
@@ -0,0 +1,83 @@
+//! `wrenctl rollout`: a planned change that goes through a group in stages, judged while the old and the new serve side by side.
+//! The members drive it; these commands begin it, hold it, let it go on, stop it, and show it.
+
+mod make;
+mod show;
+mod terms;
+
+use crate::change::{failed, span};
+use clap::{Args, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[derive(Subcommand)]
+pub enum Verb {
+    /// Shows who would get a planned change in which stage
+    Plan(Begin),
+    /// Begins to make a planned change in stages; the members go on with it, whoever else ends
+    Start(Begin),
+    /// How the rollouts of a folder's groups stand
+    Status(show::Options),
+    /// The same, a line a second, until they end
+    Watch(show::Options),
+    /// Holds a rollout where it stands
+    Pause(Change),
+    /// Lets a rollout that is held go on
+    Resume(Change),
+    /// Takes a rollout back, step by step
+    Stop(Stop),
+}
+
+#[derive(Args)]
+pub struct Begin {
+    /// The plan, as `wrenctl plan` wrote it
+    #[arg(value_name = "FILE")]
+    plan: PathBuf,
+    /// The stages and what is asked of them
+    #[arg(long, value_name = "FILE")]
+    terms: PathBuf,
+    /// Does not ask whether it is meant
+    #[arg(long)]
+    yes: bool,
+    /// How long it is tried
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    patience: Duration,
+}
+
+#[derive(Args)]
+pub struct Change {
+    /// The folder with the files that describe the group
+    #[arg(value_name = "DIR")]
+    folder: PathBuf,
+    /// Why, for whoever looks later
+    #[arg(long, value_name = "TEXT", default_value = "by hand")]
+    why: String,
+    /// How long it is tried
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    patience: Duration,
+}
+
+#[derive(Args)]
+pub struct Stop {
+    #[command(flatten)]
+    change: Change,
+    /// Takes all of it back in one step
+    #[arg(long)]
+    at_once: bool,
+}
+
+pub fn main(verb: &Verb) -> ExitCode {
+    let done = match verb {
+        Verb::Plan(begin) => make::begin(begin, false),
+        Verb::Start(begin) => make::begin(begin, true),
+        Verb::Status(options) => show::status(options),
+        Verb::Watch(options) => show::watch(options),
+        Verb::Pause(change) => make::step(change, "held", &make::held),
+        Verb::Resume(change) => make::step(change, "going on", &make::resumed),
+        Verb::Stop(stop) => {
+            make::step(&stop.change, "stopped", &|r| make::stopped(r, stop.at_once, &stop.change.why))
+        }
+    };
+    done.unwrap_or_else(|why| if why.is_empty() { ExitCode::FAILURE } else { failed(why) })
+}
--- /dev/null
+++ b/crates/ctl/src/rollout/show.rs
@@ -0,0 +1,144 @@
+//! How rollouts stand.
+
+use super::make::tallies;
+use crate::change::folder;
+use crate::group::look::look;
+use crate::group::Sockets;
+use crate::style;
+use clap::Args;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wrenfork_keeper::clock;
+use wrenfork_rollout::record::{Phase, Record};
+use wrenfork_rollout::watch::Watch;
+use wrenfork_roster::decree::Decree;
+
+/// Between two looks.
+const EVERY: Duration = Duration::from_secs(1);
+/// It ended with the old one everywhere, or waits for somebody.
+const NOT_THROUGH: u8 = 1;
+
+#[derive(Args)]
+pub struct Options {
+    /// The folder with the files that describe the groups
+    #[arg(value_name = "DIR")]
+    folder: PathBuf,
+}
+
+type Group = (String, Sockets);
+
+fn groups(options: &Options) -> Result<Vec<Group>, String> {
+    let files = folder::read(&options.folder).map_err(|_| String::new())?;
+    if files.groups.is_empty() {
+        return Err("no application here has a roster: a rollout goes through a group".into());
+    }
+    Ok(files.groups.iter().map(|(name, group)| (name.clone(), group.links(""))).collect())
+}
+
+fn phase(record: &Record) -> String {
+    let words = match record.phase {
+        Phase::On { stage } => format!("stage {} of {}", stage + 1, record.stages.len()),
+        _ => record.phase.to_string(),
+    };
+    let styled = match record.phase {
+        Phase::On { .. } | Phase::Done => style::good(&words),
+        Phase::Held { .. } => style::doubtful(&words),
+        Phase::Back { .. } | Phase::Stopped => style::bad(&words),
+    };
+    if record.why.is_empty() {
+        styled
+    } else {
+        format!("{styled} ({})", record.why)
+    }
+}
+
+/// What is known of a group's rollout.
+fn stands(at: &Sockets) -> Result<Arc<Decree>, String> {
+    look(at)?.known()
+}
+
+pub fn status(options: &Options) -> Result<ExitCode, String> {
+    for (name, at) in groups(options)? {
+        let decree = stands(&at)?;
+        let Some(record) = &decree.rollout else {
+            anstream::println!("{} no rollout", style::head(format!("{name}:")));
+            continue;
+        };
+        let (id, author) = (record.id.short(), &record.author);
+        anstream::println!("{} change {id} by {author}: {}", style::head(format!("{name}:")), phase(record));
+        let names: Vec<String> = decree.policy.own.keys().cloned().collect();
+        let (seen, new) = (tallies(&at, &names), record.new_at());
+        let mut table = style::table(&["stage", "member", "has", "notes"]);
+        for (n, stage) in record.stages.iter().enumerate() {
+            for member in stage.iter().filter(|m| seen.contains_key(*m)) {
+                let has = if new.contains(member.as_str()) { "new" } else { "old" };
+                let note = match &seen[member] {
+                    Ok(t) if t.number < decree.number => "it has not learnt this yet".to_string(),
+                    Ok(_) => String::new(),
+                    Err(why) => format!("away: {why}"),
+                };
+                table.add_row(vec![(n + 1).to_string(), member.clone(), has.into(), note]);
+            }
+        }
+        anstream::println!("{table}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One group's line, and whether it has ended or waits.
+fn line(name: &str, at: &Sockets, watch: &mut Option<(u64, Watch)>) -> Result<Option<bool>, String> {
+    let decree = stands(at)?;
+    let Some(record) = &decree.rollout else { return Err(format!("{name}: no rollout")) };
+    let mut text = phase(record);
+    if let Phase::On { .. } = record.phase {
+        if watch.as_ref().is_none_or(|w| w.0 != decree.number) {
+            let fresh = Watch::new(Record::clone(record), decree.number, clock::now());
+            *watch = Some((decree.number, fresh));
+        }
+        let names: Vec<String> = decree.policy.own.keys().cloned().collect();
+        if let Some((_, watch)) = watch {
+            // What it would decide is the driver's to decide.
+            let _ = watch.look(clock::now(), &tallies(at, &names));
+            let s = watch.standing();
+            let most = s.measures.iter().max_by(|a, b| a.2.total_cmp(&b.2));
+            let worst = most.map_or(String::new(), |(m, mean, stake)| {
+                format!(", most doubtful: {m} {:+.2}% (stake {stake:.1})", mean * 100.0)
+            });
+            let away =
+                if s.away.is_empty() { String::new() } else { format!(", away: {}", s.away.join(", ")) };
+            text += &format!(": {} blocks, good {:.1} of {:.0}{worst}{away}", s.blocks, s.good, s.needed);
+        }
+    }
+    anstream::println!("{} {text}", style::head(format!("{name}:")));
+    Ok(match record.phase {
+        Phase::Done => Some(true),
+        Phase::Stopped | Phase::Held { .. } => Some(false),
+        Phase::On { .. } | Phase::Back { .. } => None,
+    })
+}
+
+pub fn watch(options: &Options) -> Result<ExitCode, String> {
+    let groups = groups(options)?;
+    let mut watches: Vec<Option<(u64, Watch)>> = groups.iter().map(|_| None).collect();
+    let mut ends = vec![None; groups.len()];
+    loop {
+        let begun = Instant::now();
+        for (n, (name, at)) in
+            groups.iter().enumerate().filter(|(n, _)| ends[*n].is_none()).collect::<Vec<_>>()
+        {
+            match line(name, at, &mut watches[n]) {
+                Ok(end) => ends[n] = end,
+                Err(why) if groups.len() == 1 && why.ends_with("no rollout") => return Err(why),
+                // Members come and go: as long as there is something to see, it is looked again.
+                Err(why) => anstream::eprintln!("{} {why}", style::doubtful("not known:")),
+            }
+        }
+        if ends.iter().all(Option::is_some) {
+            let through = ends.iter().all(|e| *e == Some(true));
+            return Ok(if through { ExitCode::SUCCESS } else { ExitCode::from(NOT_THROUGH) });
+        }
+        std::thread::sleep(EVERY.saturating_sub(begun.elapsed()));
+    }
+}
--- a/crates/ctl/tests/group/measure.rs
+++ b/crates/ctl/tests/group/measure.rs
@@ -108,6 +108,32 @@
     }
 }
 
+#[test]
+#[ignore = "a measurement"]
+fn measure_the_cost_of_a_rollout() {
+    println!("members rollout mean-percent-of-a-core most-percent");
+    for count in [3, 20, 100] {
+        let mut group = Group::new(layout(count));
+        (0..count).for_each(|n| group.spawn(n, ""));
+        (0..count).for_each(|n| group.ready(n));
+        thread::sleep(Duration::from_secs(8));
+        for rolls in [false, true] {
+            if rolls {
+                let begun = group.roll("ann", 1, "[\"1\", \"all\"]");
+                assert_eq!(begun.status.code(), Some(0), "{}", told(&begun));
+                thread::sleep(Duration::from_secs(3));
+            }
+            let before: Vec<f64> = (0..count).map(|n| spent(&group, n)).collect();
+            let start = Instant::now();
+            thread::sleep(Duration::from_secs(15));
+            let span = start.elapsed().as_secs_f64();
+            let used: Vec<f64> = (0..count).map(|n| (spent(&group, n) - before[n]) / span * 100.0).collect();
+            let most = used.iter().copied().fold(0.0, f64::max);
+            println!("{count} {rolls} {:.3} {most:.3}", used.iter().sum::<f64>() / count as f64);
+        }
+    }
+}
+
 #[test]
 #[ignore = "a measurement"]
 fn measure_requests_through_a_change_with_one_killed() {
--- /dev/null
+++ b/crates/ctl/tests/group/rollout.rs
@@ -0,0 +1,180 @@
+//! Rollouts by real processes: in stages, judged while old and new serve side by side, stopped and taken back.
+
+use super::site::*;
+use super::{says, three};
+use std::collections::BTreeSet;
+use std::fs;
+use std::process::Output;
+use std::thread;
+use std::time::{Duration, Instant};
+use wrenfork_fleet::links::Fault;
+use wrenfork_fleet::small::*;
+use wrenfork_rollout::record::Phase;
+
+/// Terms under which a stage is decided in some ten blocks of a second.
+const TERMS: &str =
+    "version = 1\nkind = \"rollout\"\nwatch = \"2s\"\npatience = \"50s\"\npause = \"300ms\"\n\
+                     away = 1\nworse = 0.1\nerror = 0.2\n";
+
+impl Group {
+    /// Begins a rollout of a policy as one of the appliers.
+    pub fn roll(&mut self, who: &str, policy: usize, stages: &str) -> Output {
+        let planned = self.plan(who, policy);
+        assert_eq!(planned.status.code(), Some(2), "{}", told(&planned));
+        fs::write(self.path("terms.toml"), format!("{TERMS}stages = {stages}\n")).unwrap();
+        let plan = format!("{who}.plan");
+        self.run(&["rollout", "start", &plan, "--terms", "terms.toml", "--yes"])
+    }
+
+    /// Where the rollout stands, as the member knows that knows most.
+    fn phase(&self) -> Option<Phase> {
+        let stands = (0..self.count()).filter_map(|n| self.stand(n));
+        stands.max_by_key(|s| s.number)?.rollout
+    }
+
+    fn until(&self, what: &str, wanted: impl Fn(&Phase) -> bool) {
+        let start = Instant::now();
+        loop {
+            let phase = self.phase();
+            if phase.as_ref().is_some_and(&wanted) {
+                return;
+            }
+            assert!(start.elapsed() < 3 * LONG, "in vain: {what}: {phase:?}\n{}", self.logs());
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Who drives, by the logs.
+    fn driver(&self) -> Option<usize> {
+        let log = |n: usize| fs::read_to_string(self.path(&format!("log-{n}"))).unwrap_or_default();
+        (0..self.count()).find(|n| log(*n).contains("driven from here"))
+    }
+
+    /// The ingresses that serve under a policy right now.
+    fn on(&self, policy: &str) -> BTreeSet<usize> {
+        (0..self.at.len()).filter(|n| self.ask(*n) == Got::Policy(policy.into())).collect()
+    }
+}
+
+fn four() -> Layout {
+    Layout::of(4, 1)
+}
+
+/// One that is good goes through, while its driver is killed, another member is down, and others want other things.
+#[test]
+fn a_good_one_goes_through_whoever_dies_and_is_everywhere_at_the_end() {
+    let mut group = Group::started(four());
+    let load = group.load();
+    let begun = group.roll("ann", 1, "[\"1\", \"50%\", \"all\"]");
+    says(&begun, 0, &["made: stage 1", "each watched for 2 s"]);
+    assert_eq!(group.on("p1").len(), 1, "{}", group.logs());
+    // One at a time, whoever wants another one.
+    let second = group.roll("bob", 2, "[\"all\"]");
+    says(&second, 1, &["a rollout by ann is under way"]);
+    let plan = group.plan("bob", 2);
+    says(&plan, 2, &[]);
+    let applied = group.run(&["apply", "bob.plan", "--yes"]);
+    says(&applied, 1, &["a rollout by ann is under way"]);
+    group.want(1);
+    says(&group.run(&["rollout", "status", "ann"]), 0, &["stage 1 of 3", "new", "old"]);
+    // Whoever drives dies; another goes on, and nobody types anything.
+    group.wait("somebody drives", || group.driver().is_some());
+    let driver = group.driver().unwrap();
+    let new = group.on("p1");
+    if !new.contains(&driver) {
+        group.kill(driver);
+    }
+    group.until("the second stage", |p| *p == Phase::On { stage: 1 });
+    if !new.contains(&driver) {
+        group.spawn(driver, "");
+        group.wait("it is back", || group.stand(driver).is_some());
+    }
+    group.until("the end", |p| *p == Phase::Done);
+    assert_eq!(group.agreed(), "p1");
+    let answers = load.stop();
+    let wrong: Vec<_> = answers.iter().filter(|(_, got)| matches!(got, Got::Other(_))).take(3).collect();
+    assert!(wrong.is_empty() && answers.len() > 1_000, "{wrong:?} of {}", answers.len());
+    says(&group.run(&["rollout", "watch", "ann"]), 0, &["done: all have the new one"]);
+    says(&group.run(&["rollout", "stop", "ann"]), 1, &["no rollout is under way"]);
+    // What has ended stands in nobody's way.
+    group.made(2);
+    assert_eq!(group.agreed(), "p2");
+}
+
+/// One that fails is found by what is lost, and taken back; only its first stage ever had it. One of the old that was down
+/// since before comes back with the old.
+#[test]
+fn one_that_fails_is_stopped_in_its_first_stage_and_all_have_the_old_again() {
+    let mut layout = four();
+    layout.bad = Some((2, Bad::Fails));
+    let mut group = Group::started(layout);
+    group.kill(3);
+    let load = group.load();
+    says(&group.roll("ann", 2, "[\"1\", \"all\"]"), 0, &["made: stage 1"]);
+    let watched = group.run(&["rollout", "watch", "ann"]);
+    says(&watched, 1, &["stopped: all have the old one", "beside the old one"]);
+    group.spawn(3, "");
+    group.ready(3);
+    assert_eq!(group.agreed(), "p0");
+    let answers = load.stop();
+    let failed =
+        |name: &str| answers.iter().filter(|(a, g)| a.ingress == name && matches!(g, Got::Other(_))).count();
+    let hit: Vec<usize> = (0..4).filter(|n| failed(&group.short(*n)) > 0).collect();
+    assert!(hit.len() <= 1, "{hit:?} had it");
+    says(&group.run(&["rollout", "status", "ann"]), 0, &["stopped: all have the old one"]);
+}
+
+/// Nothing fails, and the answers come later.
+#[test]
+fn one_that_is_slow_is_stopped() {
+    let mut layout = four();
+    layout.bad = Some((2, Bad::Slow));
+    let mut group = Group::started(layout);
+    let load = group.load();
+    says(&group.roll("ann", 2, "[\"50%\", \"all\"]"), 0, &["made: stage 1"]);
+    let watched = group.run(&["rollout", "watch", "ann"]);
+    says(&watched, 1, &["stopped: all have the old one", "answers later"]);
+    assert_eq!(group.agreed(), "p0");
+    drop(load.stop());
+}
+
+/// A member that has the new one and dies is a crash: stopped at once, also for the one that is down.
+#[test]
+fn a_crash_in_the_stage_stops_at_once() {
+    let mut group = Group::started(three());
+    says(&group.roll("ann", 1, "[\"1\", \"all\"]"), 0, &["made: stage 1"]);
+    let new = *group.on("p1").first().expect("one has the new one");
+    group.wait("somebody drives", || group.driver().is_some());
+    thread::sleep(Duration::from_millis(1_500));
+    group.kill(new);
+    group.spawn(new, "");
+    group.until("its stop", |p| *p == Phase::Stopped);
+    assert_eq!(group.agreed(), "p0");
+    says(&group.run(&["rollout", "status", "ann"]), 0, &["started again"]);
+}
+
+/// Held, let go on, stopped by hand; with links that drop meanwhile, so that another drives.
+#[test]
+fn it_is_held_and_stopped_by_hand_whatever_links_drop() {
+    let mut group = Group::started(four());
+    says(&group.roll("ann", 1, "[\"1\", \"50%\", \"all\"]"), 0, &["made: stage 1"]);
+    says(&group.run(&["rollout", "pause", "ann", "--why", "lunch"]), 0, &["made: held"]);
+    says(&group.run(&["rollout", "status", "ann"]), 0, &["held in stage 1", "lunch"]);
+    says(&group.run(&["rollout", "pause", "ann"]), 1, &["it can't be held"]);
+    group.wait("somebody drove", || group.driver().is_some());
+    let driver = group.driver().unwrap();
+    // It reaches nobody, and nobody reaches it.
+    let names: Vec<String> = (0..group.count()).map(|n| group.short(n)).collect();
+    let others: Vec<&str> = names.iter().map(String::as_str).filter(|n| *n != names[driver]).collect();
+    group.links.between(&[&names[driver]], &others, Fault::Dropped);
+    says(&group.run(&["rollout", "resume", "ann"]), 0, &["made: going on"]);
+    says(&group.run(&["rollout", "resume", "ann"]), 1, &["it is not held"]);
+    let load = group.load();
+    group.until("the second stage, by another", |p| *p == Phase::On { stage: 1 });
+    says(&group.run(&["rollout", "stop", "ann", "--why", "enough"]), 0, &["made: stopped"]);
+    group.until("its end", |p| *p == Phase::Stopped);
+    group.links.heal();
+    assert_eq!(group.agreed(), "p0");
+    drop(load.stop());
+    says(&group.run(&["rollout", "status", "ann"]), 0, &["stopped", "enough"]);
+}
--- a/crates/ctl/tests/group/site.rs
+++ b/crates/ctl/tests/group/site.rs
@@ -38,6 +38,17 @@
     pub relays: bool,
     /// More lines of the roster.
     pub roster: String,
+    /// A policy that is worse than the others, and how.
+    pub bad: Option<(usize, Bad)>,
+}
+
+/// What is wrong with a policy's node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Bad {
+    /// It answers with errors.
+    Fails,
+    /// It takes 30 ms more.
+    Slow,
 }
 
 impl Layout {
@@ -49,6 +60,7 @@
             as_known: Vec::new(),
             relays: true,
             roster: String::new(),
+            bad: None,
         }
     }
 }
@@ -110,7 +122,13 @@
         let links = Links::open(&folder.path().join("l"), &askers, &members).unwrap();
         let backends: Vec<Backend> = (0..POLICIES)
             .map(|k| {
+                let bad = layout.bad.filter(|b| b.0 == k).map(|b| b.1);
                 Backend::start(move |args| {
+                    match bad {
+                        Some(Bad::Fails) => return Act::Say(b"-ERR broken\r\n".to_vec()),
+                        Some(Bad::Slow) => thread::sleep(Duration::from_millis(30)),
+                        None => {}
+                    }
                     let value = format!("policy p{k} {}", args[2]);
                     Act::Say(
                         format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$9\r\nutil=0.01\r\n", value.len())
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -322,6 +322,15 @@
         plans
     }
 
+    /// Whether a customer's quota, as far as it is known here, has room for so many units now.
+    pub fn inside(&self, customer: CustomerId, units: f64) -> bool {
+        let beyond = |c: &Customer| {
+            let has_quota = self.s.plans.get(c.plan).is_some_and(|p| p.rate > 0.0);
+            has_quota && c.level + 1e-9 < units
+        };
+        !self.customers.get(&customer).is_some_and(beyond)
+    }
+
     /// Whether a backend takes new work, and the places of the classes that it is rested for.
     pub fn takes_work(&self, id: BackendId) -> (bool, Vec<usize>) {
         let Some(b) = self.backends.get(&id) else { return (false, Vec::new()) };
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -3,16 +3,18 @@
 use crate::config::{compile, Config, Control, Enforced};
 use crate::gate::Gate;
 use mio::{Registry, Token, Waker};
+use std::hash::{BuildHasher, RandomState};
 use std::path::Path;
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenfork_control::figures::Figures;
 use wrenfork_control::participant::Memory;
 use wrenfork_control::protocol::{Ask, Record, Say};
 use wrenfork_control::state::{Generation, State};
 use wrenfork_keeper::ledger::Ledger;
-use wrenfork_keeper::{client, socket, Enforcer, Keeper};
+use wrenfork_keeper::{client, clock, socket, Enforcer, Keeper};
+use wrenfork_rollout::tally::Tally;
 use wrenfork_wire::call::Vocabulary;
 
 /// How long the loop may take to its next turn before an order counts as lost: far longer than any turn.
@@ -28,6 +30,8 @@
     Switch(Box<Enforced>, SyncSender<Vocabulary>),
     /// Tell how it goes.
     Figures(SyncSender<Figures>),
+    /// Tell what was counted.
+    Tally(SyncSender<Tally>),
 }
 
 /// The loop's end.
@@ -47,6 +51,11 @@
         Gate::of(self.keeper.gate())
     }
 
+    /// Whether it belongs to a group.
+    pub fn grouped(&self) -> bool {
+        self.keeper.gate().is_some()
+    }
+
     /// The descriptors that it may take besides those that each ingress has to spare.
     pub fn descriptors(&self) -> usize {
         self.keeper.descriptors()
@@ -63,9 +72,18 @@
     fixed: Vec<(String, String)>,
     orders: Sender<Order>,
     waker: Arc<Waker>,
+    /// This process's life, and when it began.
+    life: u64,
+    began: Instant,
 }
 
 impl Loop {
+    /// The name of the hall that it stands in.
+    fn hall(&self) -> Option<&str> {
+        let told = |key: &str| self.fixed.iter().find(|(k, _)| k == key).map(|(_, value)| value.as_str());
+        told("zones")?.split(',').nth(told("zone")?.parse().ok()?)
+    }
+
     fn order<T>(&self, make: impl FnOnce(SyncSender<T>) -> Order) -> Result<T, String> {
         let (done, answer) = sync_channel(1);
         self.orders.send(make(done)).map_err(|_| "it is stopping")?;
@@ -89,6 +107,18 @@
         self.order(Order::Figures).unwrap_or_default()
     }
 
+    fn tally(&self) -> Tally {
+        let counted = self.order(Order::Tally).unwrap_or_default();
+        Tally {
+            life: self.life,
+            age_ms: self.began.elapsed().as_millis() as u64,
+            hall: self.hall().unwrap_or_default().to_string(),
+            cpu_us: clock::processor().as_micros() as u64,
+            memory_kb: resident_kb(),
+            ..counted
+        }
+    }
+
     fn log(&self, record: &Record) {
         let Record { what, author, change, generation, why, .. } = record;
         let change = change.short();
@@ -100,6 +130,13 @@
     }
 }
 
+/// Kilobytes of memory that this process holds; nought where the system does not tell.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 /// What the control side keeps, and what is therefore enforced from the start on.
 pub struct Kept {
     control: Control,
@@ -183,7 +220,8 @@
         let socket = socket::listen(path, 0o600).map_err(|why| format!("control: {why}"))?;
         let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
         let (sender, orders) = channel();
-        let served = Loop { fixed: self.fixed, orders: sender, waker: Arc::new(waker) };
+        let (life, began) = (RandomState::new().hash_one(0), Instant::now());
+        let served = Loop { fixed: self.fixed, orders: sender, waker: Arc::new(waker), life, began };
         let keeper = Keeper::start(
             &self.control.name,
             socket,
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -14,12 +14,13 @@
 use crate::management::{self, Ask, Management, MOST_CALLERS};
 use crate::peers::Peers;
 use crate::reload::Reload;
-use crate::requests::{Attempt, Place, Requests};
+use crate::requests::{Attempt, Place, Requests, LONGEST_WAIT};
 use crate::room::Budget;
 use crate::routing::Routing;
 use crate::shutdown::Shutdown;
 use crate::stream::Listener;
 use crate::takeover::{self, Given, Inherited, Offer, Taken};
+use crate::tallies::Tallies;
 use crate::timers::{Due, Timers};
 use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Interest, Poll, Token};
@@ -55,8 +56,6 @@
 
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
 const MEMORY_SHARE: usize = 4;
-/// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
-const LONGEST_WAIT: Micros = 60_000_000;
 /// Time between looks at what has been idle for long.
 const SWEEP: Micros = 500_000;
 /// Time until accepting is tried again after there was no descriptor for it.
@@ -89,6 +88,7 @@
     socket: Option<Socket>,
     control: Option<Port>,
     ledger: Ledger,
+    tallies: Tallies,
     management: Option<Management>,
     calls_more: bool,
     peers: Option<Peers>,
@@ -209,6 +209,11 @@
         let management =
             management::open(config.management, registry, MANAGEMENT, |key| Token(CALLERS + key))?;
         let ledger = Ledger::new(names(&vocabulary));
+        let mut tallies = Tallies::default();
+        if control.as_ref().is_some_and(Port::grouped) {
+            tallies.begin();
+        }
+        tallies.enforce(&settings, &vocabulary);
         let requests = Requests::new(settings.limits.max_open as usize, config.memory / MEMORY_SHARE);
         let mut timers = Timers::default();
         timers.set(now + SWEEP, Due::Sweep);
@@ -235,6 +240,7 @@
             socket,
             control,
             ledger,
+            tallies,
             management,
             calls_more: false,
             peers,
@@ -533,6 +539,7 @@
                     let _ = done.send(old);
                 }
                 Order::Figures(done) => drop(done.send(self.figures())),
+                Order::Tally(done) => drop(done.send(self.tallies.tally(&self.clients.words))),
             }
         }
     }
@@ -548,6 +555,7 @@
         self.requests.allow(settings.limits.max_open as usize);
         self.backends.allow(connect_timeout, keepalive);
         self.shutdown.longest(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+        self.tallies.enforce(&settings, &self.clients.words);
         let old = std::mem::replace(&mut self.clients.words, vocabulary);
         self.ledger.name(names(&self.clients.words));
         if self.watch.address() != discovery {
@@ -679,6 +687,7 @@
             // Never let in, so trying again is harmless.
             Place::Full => {
                 self.ledger.ended(call.request.class, End::Refused);
+                self.tallies.turned_away(&call.request);
                 return self.clients.answer(origin, b"-BUSY\r\n");
             }
         };
@@ -899,6 +908,7 @@
         if let Some(open) = self.requests.owing(id) {
             open.over = true;
             self.ledger.ended(open.call.request.class, end);
+            self.tallies.ended(open, end, self.now, &self.gateway);
             self.clients.answer(open.origin, text);
         }
         self.forget(id);
@@ -909,6 +919,7 @@
         if let Some(open) = self.requests.owing(id) {
             open.over = true;
             self.ledger.ended(open.call.request.class, End::Failed);
+            self.tallies.ended(open, End::Failed, self.now, &self.gateway);
             self.clients.cut(open.origin);
         }
     }
--- a/crates/ingress/src/main.rs
+++ b/crates/ingress/src/main.rs
@@ -24,6 +24,7 @@
 mod status;
 mod stream;
 mod takeover;
+mod tallies;
 mod timers;
 
 use clap::Parser;
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -12,6 +12,9 @@
 /// How long after its end the id of a request is still known: one that is new each time does not come again.
 const ID_KNOWN: Micros = 1_000_000;
 
+/// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
+pub const LONGEST_WAIT: Micros = 60_000_000;
+
 /// An attempt at a request.
 #[derive(Serialize, Deserialize)]
 pub struct Attempt {
@@ -43,6 +46,11 @@
 }
 
 impl Open {
+    /// When it came.
+    pub fn came(&self) -> Micros {
+        self.overdue.saturating_sub(self.call.wait.min(LONGEST_WAIT))
+    }
+
     fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.link.is_some())
     }
--- a/crates/keeper/src/clock.rs
+++ b/crates/keeper/src/clock.rs
@@ -10,6 +10,12 @@
     Duration::new(t.tv_sec.unsigned_abs(), t.tv_nsec as u32)
 }
 
+/// The processor time of this process so far.
+pub fn processor() -> Duration {
+    let t = clock_gettime(ClockId::ProcessCPUTime);
+    Duration::new(t.tv_sec.unsigned_abs(), t.tv_nsec as u32)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::drive::drive;
 use crate::links::{self, Link};
+use crate::rollout::{under_way, Driving};
 use crate::{Enforcer, Inner};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
@@ -149,6 +150,10 @@
         self.members
     }
 
+    pub fn closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
         self.wake();
@@ -186,6 +191,8 @@
     /// A decree is being taken up from another: it is written on a thread of its own, so that renewals go on.
     learning: Arc<AtomicBool>,
     settling: Arc<AtomicBool>,
+    /// A rollout is driven from here.
+    rolling: Arc<AtomicBool>,
     /// The highest ballot that was heard of.
     outbid: Arc<AtomicU64>,
     form_at: Duration,
@@ -232,6 +239,9 @@
                 self.tell(holds);
                 held = Some(holds);
             }
+            if let Some(decree) = stands.as_ref().filter(|d| holds && under_way(d).is_some()) {
+                self.roll(decree, &busy);
+            }
             if !busy.settling.load(Ordering::Acquire) {
                 if settle_at.is_some_and(|at| at <= now) {
                     self.propose(&mut busy, stands.as_ref(), every);
@@ -318,6 +328,30 @@
         }
     }
 
+    /// Drives the rollout that stands, on a thread of its own, if that is not being done.
+    fn roll(&self, decree: &Arc<Decree>, busy: &Busy) {
+        if busy.rolling.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let driving = Driving {
+            name: self.name.clone(),
+            decree: decree.clone(),
+            at: self.membership.links.clone(),
+            shared: self.shared.clone(),
+            inner: self.inner.clone(),
+            most: self.most,
+        };
+        let (rolling, shared) = (busy.rolling.clone(), self.shared.clone());
+        let work = move || {
+            driving.run();
+            rolling.store(false, Ordering::Release);
+            shared.wake();
+        };
+        if std::thread::Builder::new().name("rollout".into()).stack_size(STACK).spawn(work).is_err() {
+            busy.rolling.store(false, Ordering::Release);
+        }
+    }
+
     /// Settles what was left half decided, or forms the group, on a thread of its own.
     fn propose(&self, busy: &mut Busy, base: Option<&Arc<Decree>>, every: Duration) {
         let promised = {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod group;
 pub mod ledger;
 mod links;
+mod rollout;
 pub mod socket;
 
 use connections::{Connection, Connections};
@@ -31,6 +32,7 @@
 use wrenfork_control::participant::{Participant, Step};
 use wrenfork_control::protocol::{self, Ask, Record, Say, Stand};
 use wrenfork_control::state::State;
+use wrenfork_rollout::tally::Tally;
 use wrenfork_roster::acceptor::{Acceptor, Memory as Member, Step as Turn};
 use wrenfork_roster::protocol as group_protocol;
 use wrenfork_roster::seats::Kind;
@@ -61,6 +63,9 @@
     /// What is used now, and how it goes.
     fn figures(&self) -> Figures;
 
+    /// What was counted of requests, for whoever drives a rollout; its decree's number is filled in elsewhere.
+    fn tally(&self) -> Tally;
+
     /// A line for the log.
     fn log(&self, record: &Record);
 }
@@ -70,6 +75,8 @@
     participant: Participant,
     /// As a member of a group.
     group: Option<Acceptor>,
+    /// The decree that was found in the folder.
+    began: u64,
     shared: Option<Arc<Shared>>,
     ledger: Ledger,
     enforcer: E,
@@ -115,6 +122,7 @@
         let inner = Inner {
             name: name.into(),
             participant,
+            began: group.as_ref().map_or(0, |g| g.memory().number()),
             group,
             shared: shared.clone(),
             ledger,
@@ -167,9 +175,10 @@
         self.shared.as_ref().map(|s| s.gate())
     }
 
-    /// The descriptors that belonging to a group may take: connections of members and to members.
+    /// The descriptors that belonging to a group may take: connections of members and to members, and those of a rollout that
+    /// is driven here.
     pub fn descriptors(&self) -> usize {
-        self.shared.as_ref().map_or(0, |s| MOST_CONNECTIONS + 2 * s.members())
+        self.shared.as_ref().map_or(0, |s| MOST_CONNECTIONS + 3 * s.members())
     }
 
     fn serve(
@@ -325,6 +334,10 @@
         let (Some(acceptor), Some(shared)) = (&mut self.group, &self.shared) else {
             return Say::No { why: "this ingress belongs to no group".into() };
         };
+        if ask == Ask::Tally {
+            let (number, began, tally) = (acceptor.memory().number(), self.began, self.enforcer.tally());
+            return Say::Tallied(Box::new(Tally { number, began, ..tally }));
+        }
         let now = clock::now();
         let mut record = None;
         {
--- /dev/null
+++ b/crates/keeper/src/rollout.rs
@@ -0,0 +1,160 @@
+//! Drives the rollout that stands in a group, on a thread of its own: looks at all members once a second, lets
+//! `wrenfork-rollout` judge, and has the group decide what that wants. Of the voters the first one of an order drawn by the
+//! rollout drives; the next ones do when it has no lease. Two that both believe to be it do no harm: what they want has one
+//! number, and is decided once.
+
+use crate::clock;
+use crate::drive::drive;
+use crate::group::{drawn, Shared};
+use crate::links::{self, Link};
+use crate::{Enforcer, Inner};
+use std::collections::BTreeMap;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use wrenfork_control::protocol::Record as Note;
+use wrenfork_control::state::Digest;
+use wrenfork_rollout::record::{Phase, Record};
+use wrenfork_rollout::watch::{Seen, Watch};
+use wrenfork_roster::decree::Decree;
+use wrenfork_roster::proposer::{Aim, End, Proposer};
+use wrenfork_roster::protocol::{Ask, Ballot, Say};
+use wrenfork_roster::seats::Kind;
+
+/// Between two looks. A block of the comparison is as long at the least.
+const EVERY: Duration = Duration::from_secs(1);
+/// How long a look waits for a member: half the time to the next one.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Leases in which a step must have been decided, or it is tried anew.
+const DECIDE: u32 = 4;
+
+/// The rollout of a decree, if there is something to drive.
+pub(crate) fn under_way(decree: &Decree) -> Option<&Record> {
+    let record = decree.rollout.as_deref()?;
+    matches!(record.phase, Phase::On { .. } | Phase::Back { .. }).then_some(record)
+}
+
+/// All that the thread works with.
+pub(crate) struct Driving<E> {
+    /// The member that this is.
+    pub name: String,
+    /// What stands.
+    pub decree: Arc<Decree>,
+    /// The members' control sockets, this one's among them.
+    pub at: BTreeMap<String, PathBuf>,
+    pub shared: Arc<Shared>,
+    pub inner: Arc<Mutex<Inner<E>>>,
+    /// The most bytes of an answer.
+    pub most: usize,
+}
+
+impl<E: Enforcer> Driving<E> {
+    /// Drives until something else stands, or this member ends.
+    pub fn run(self) {
+        let Some(record) = under_way(&self.decree).cloned() else { return };
+        let Ok((_wake, woken)) = UnixStream::pair() else { return };
+        if woken.set_nonblocking(true).is_err() {
+            return;
+        }
+        let serves = |name: &&String| self.decree.roster.seat(name).is_some_and(|s| s.kind == Kind::Ingress);
+        let mut links: Vec<Link> =
+            self.at.iter().filter(|(name, _)| serves(name)).map(|(n, p)| Link::new(n, p.clone())).collect();
+        let (mut watch, mut round) = (None::<Watch>, 0);
+        while self.stands() {
+            let now = clock::now();
+            if self.shared.lease_ms().is_none() || self.led_by_another(&record) {
+                watch = None; // what another has seen meanwhile is not known here
+            } else {
+                let seen = self.look(&mut links, &woken);
+                let watch = watch.get_or_insert_with(|| {
+                    self.log(&record.phase.to_string(), "driven from here");
+                    Watch::new(record.clone(), self.decree.number, now)
+                });
+                if let Some(next) = watch.look(clock::now(), &seen) {
+                    self.decide(next, &mut round);
+                }
+            }
+            while clock::now() < now + EVERY && self.stands() {
+                std::thread::sleep(PATIENCE / 10);
+            }
+        }
+    }
+
+    /// Whether what is driven still stands.
+    fn stands(&self) -> bool {
+        let number = self.shared.standing().decree().map_or(0, |d| d.number);
+        !self.shared.closed() && number == self.decree.number
+    }
+
+    fn log(&self, what: &str, why: &str) {
+        let (change, generation) = (self.decree.change.clone(), self.decree.generation);
+        let note =
+            Note { what: format!("rollout: {what}"), why: why.into(), change, generation, ..Note::default() };
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).enforcer.log(&note);
+    }
+
+    /// Whether a voter that comes before this one is there and may serve.
+    fn led_by_another(&self, record: &Record) -> bool {
+        let lot = |name: &str| Digest::of(format!("{:?} drives {name}", record.id).as_bytes());
+        let own = lot(&self.name);
+        let before = self.decree.roster.voters().filter(|s| lot(&s.name) < own);
+        let before: Vec<&PathBuf> = before.filter_map(|s| self.at.get(&s.name)).collect();
+        let leads = |at: &PathBuf| match crate::client::ask(at, &Ask::Stand, PATIENCE) {
+            Ok(Say::Stands(stand)) => stand.number == self.decree.number && stand.lease_ms.is_some(),
+            _ => false,
+        };
+        std::thread::scope(|scope| {
+            let asked: Vec<_> = before.iter().map(|at| scope.spawn(|| leads(at))).collect();
+            asked.into_iter().any(|one| one.join().unwrap_or(false))
+        })
+    }
+
+    /// What each member that serves counted so far, or that it does not answer.
+    fn look(&self, links: &mut [Link], woken: &UnixStream) -> BTreeMap<String, Seen> {
+        let begun = clock::now();
+        let mut seen: BTreeMap<String, Seen> =
+            links.iter().map(|l| (l.name.clone(), Err("it does not answer".to_string()))).collect();
+        let mut left = 0;
+        for link in links.iter_mut().filter(|l| l.free(begun)) {
+            link.ask(Ask::Tally, begun);
+            left += 1;
+        }
+        let until = begun + PATIENCE;
+        while left > 0 && clock::now() < until {
+            for (n, _, sent, say) in links::wait(links, woken, until, PATIENCE, self.most) {
+                // What was asked before this look is too old to be compared with the others'.
+                if let (Say::Tallied(tally), true) = (say, sent >= begun) {
+                    seen.insert(links[n].name.clone(), Ok(*tally));
+                }
+                left -= 1;
+            }
+        }
+        seen
+    }
+
+    /// Has the group decide a step.
+    fn decide(&self, next: Record, round: &mut u64) {
+        let (what, why) = (next.phase.to_string(), next.why.clone());
+        let decree = match self.decree.rolled(&self.decree.author, next) {
+            Ok(decree) => Arc::new(decree),
+            Err(why) => return self.log(&what, &format!("can't be: {why}")),
+        };
+        let promised = {
+            let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+            inner.group.as_ref().map_or(0, |g| g.memory().promised.round)
+        };
+        let ballot = Ballot { round: promised.max(*round) + 1, by: drawn() };
+        let mut proposer = Proposer::begin(self.decree.clone(), Aim::Change(decree), ballot, clock::now());
+        match drive(&mut proposer, &self.at, self.decree.roster.lease() * DECIDE, |_| {}) {
+            End::Made => self.log(&what, &why),
+            End::Outbid(by) => *round = by.round,
+            End::Refused(all) => {
+                let all: Vec<String> = all.into_iter().map(|(name, why)| format!("{name}: {why}")).collect();
+                self.log(&what, &format!("refused: {}", all.join("; ")));
+            }
+            // Somebody else was first, or it is settled by the members; either way it shows in what stands.
+            End::Few(..) | End::Overtaken(_) | End::Unfinished => {}
+        }
+    }
+}
--- a/crates/roster/src/acceptor.rs
+++ b/crates/roster/src/acceptor.rs
@@ -96,7 +96,7 @@
     ) -> Step {
         let m = &self.memory;
         match ask {
-            Ask::Renew { .. } => no("a renewal is not asked for here"),
+            Ask::Renew { .. } | Ask::Tally => no("this is not asked for here"),
             Ask::Learn => Step::Say(Say::Learnt { decree: m.decree.clone() }),
             Ask::Stand => Step::Say(Say::Stands(Box::new(self.stand(sure.err())))),
             Ask::Still { .. } => Step::Say(Say::Accepted { folder: m.folder }),
@@ -195,6 +195,7 @@
             if decree.generation == stands.generation && !decree.enforces_as(stands) {
                 return Err(format!("two policies under generation {}", decree.generation));
             }
+            stands.rolls_on(decree)?;
             if !stands.roster.overlaps(&decree.roster) {
                 return Err("more than one vote would change at once: majorities would not overlap".into());
             }
@@ -220,6 +221,7 @@
             roster: decree.map_or_else(Roster::default, |d| d.roster.clone()),
             promised: m.promised,
             pending: m.accepted.as_ref().map(|a| a.1.digest.clone()),
+            rollout: decree.and_then(|d| d.rollout.as_ref()).map(|r| r.phase.clone()),
             lease_ms: None,
             unsure,
         }
--- a/crates/roster/src/decree.rs
+++ b/crates/roster/src/decree.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wrenfork_control::state::{Digest, Generation, State};
+use wrenfork_rollout::record::{self, Record};
 
 /// What each member is to enforce: what is the same for all once, and what is a member's own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -68,6 +69,9 @@
     pub policy: Arc<Policy>,
     /// The digest of that.
     pub enforced: Digest,
+    /// The rollout that it is a step of, or that was the last one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout: Option<Arc<Record>>,
     /// What tells this decree from every other: the digest of all before.
     pub digest: Digest,
 }
@@ -97,8 +101,8 @@
         policy: Policy,
     ) -> Decree {
         let (author, policy, enforced) = (author.into(), Arc::new(policy), Digest::default());
-        Decree { number, generation, change, author, roster, policy, enforced, digest: Digest::default() }
-            .sealed()
+        let (rollout, digest) = (None, Digest::default());
+        Decree { number, generation, change, author, roster, policy, enforced, rollout, digest }.sealed()
     }
 
     /// With its digests.
@@ -109,8 +113,14 @@
     }
 
     fn own_digest(&self) -> Digest {
-        let Decree { number, generation, change, author, roster, policy: _, enforced, digest: _ } = self;
-        Digest::of(format!("{number} {generation} {change:?} {author:?} {roster:?} {enforced:?}").as_bytes())
+        let Decree { number, generation, change, author, roster, policy: _, enforced, rollout, digest: _ } =
+            self;
+        let mut text = format!("{number} {generation} {change:?} {author:?} {roster:?} {enforced:?}");
+        // A member that knows nothing of rollouts finds that this is not what it says that it is.
+        if let Some(rollout) = rollout {
+            text.push_str(&format!(" {rollout:?}"));
+        }
+        Digest::of(text.as_bytes())
     }
 
     /// The next decree, that changes nothing: it ends what was left undecided.
@@ -137,6 +147,64 @@
         Decree { number, change, author: author.into(), roster, policy, ..self.clone() }.sealed()
     }
 
+    /// The next decree, that a rollout begins with or goes on by: each member enforces the side that its stage has.
+    ///
+    /// # Errors
+    ///
+    /// Where a member enforces neither.
+    pub fn rolled(&self, author: &str, record: Record) -> Result<Decree, String> {
+        let new = record.new_at();
+        // Most members enforce the same before and after: each such state is made once.
+        type Same<'a> = (&'a State, Option<&'a usize>, bool);
+        let mut made: Vec<(Same, Arc<State>)> = Vec::new();
+        let mut states = BTreeMap::new();
+        for (name, own) in &self.policy.own {
+            let same = (own, record.of.get(name), new.contains(name.as_str()));
+            let known = made.iter().find(|m| m.0 == same).map(|m| m.1.clone());
+            let state = match known {
+                Some(state) => state,
+                None => {
+                    let now = self.policy.at(name).unwrap_or_default();
+                    let state = Arc::new(record.state(name, &now, same.2)?);
+                    made.push((same, state.clone()));
+                    state
+                }
+            };
+            states.insert(name.clone(), state);
+        }
+        let policy = Policy::of(&states);
+        let generation = self.generation + u64::from(policy.digest() != self.enforced);
+        let (number, change, policy) = (self.number + 1, record.id.clone(), Arc::new(policy));
+        let (author, rollout) = (author.into(), Some(Arc::new(record)));
+        Ok(Decree { number, generation, change, author, policy, rollout, ..self.clone() }.sealed())
+    }
+
+    /// Whether another may follow as far as rollouts go: one at a time, each step as it must be, and nothing else changes what
+    /// members enforce meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Why not, in words.
+    pub fn rolls_on(&self, next: &Decree) -> Result<(), String> {
+        let (was, is) = (self.rollout.as_deref(), next.rollout.as_deref());
+        record::follows(was, is)?;
+        match is {
+            Some(is) if was != Some(is) => {
+                let wanted = self.rolled(&next.author, is.clone())?;
+                (wanted == *next).then_some(()).ok_or_else(|| "it is not what its rollout says".into())
+            }
+            Some(is) if !is.phase.ended() => {
+                let comes = next.policy.own.keys().find(|name| !self.policy.own.contains_key(*name));
+                if let Some(name) = comes {
+                    return Err(format!("{name} comes in once the rollout that is under way has ended"));
+                }
+                let same = next.generation == self.generation && next.enforces_as(self);
+                same.then_some(()).ok_or_else(|| "a rollout is under way: it says what is enforced".into())
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Whether whoever is a member under both enforces the same under both.
     pub fn enforces_as(&self, other: &Decree) -> bool {
         let (a, b) = (&self.policy, &other.policy);
--- a/crates/roster/src/protocol.rs
+++ b/crates/roster/src/protocol.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wrenfork_control::state::{Digest, State};
+use wrenfork_rollout::record::Phase;
+use wrenfork_rollout::tally::Tally;
 
 /// Who proposes: a round, and a number drawn by whoever proposes in it, so that no two are alike.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -88,6 +90,8 @@
     Learn,
     /// How it stands, for people and for whoever proposes.
     Stand,
+    /// What it has counted of its requests, for whoever drives a rollout.
+    Tally,
 }
 
 /// What becomes of a renewal.
@@ -169,6 +173,8 @@
     },
     /// How it stands.
     Stands(Box<Stand>),
+    /// What it has counted.
+    Tallied(Box<Tally>),
     /// It does not; nothing has changed.
     No {
         /// Why, in plain words.
@@ -204,6 +210,9 @@
     pub promised: Ballot,
     /// The next decree, where it has taken one up.
     pub pending: Option<Digest>,
+    /// Where the rollout stands that its decree is of, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout: Option<Phase>,
     /// Milliseconds for which it may still serve; none where it may not.
     pub lease_ms: Option<u64>,
     /// Why it does not vote, where it does not.
@@ -233,13 +242,18 @@
         let decree = Arc::new(Decree::default());
         let accept = Ask::Accept { ballot: Ballot::default(), decree: decree.clone() };
         let decided = Ask::Decided { number: 1, digest: Digest::default(), decree: Some(decree) };
-        for ask in [renew, promise, accept, decided, Ask::Learn, Ask::Stand] {
+        for ask in [renew, promise, accept, decided, Ask::Learn, Ask::Stand, Ask::Tally] {
             let line = protocol::line(&ask);
             assert!(is(&line), "{line}");
             assert_eq!(read::<Ask>(&line), Ok(ask));
         }
         assert!(!is(&protocol::line(&protocol::Ask::Status)) && !is("") && !is("{"));
-        for say in [Say::Want, Say::Stands(Box::default()), Say::Learnt { decree: None }] {
+        for say in [
+            Say::Want,
+            Say::Stands(Box::default()),
+            Say::Tallied(Box::default()),
+            Say::Learnt { decree: None },
+        ] {
             assert_eq!(read::<Say>(&protocol::line(&say)), Ok(say));
         }
         assert!(Age { writes: 4, life: 1 }.is_older_than(&Age { writes: 5, life: 1 }));
