Rollouts: whole ones by draws, a page at the end, members that are away come last

Members that are away when it begins come in the last stage; one that answers and has not learnt what stands counts as away. Two that begin at once are told of each other, before they are told that their plan has moved.

Not run yet: 40 members by processes.

--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -121,9 +121,21 @@
     (groups, plan.only(|t| plan.groups.iter().all(|g| !g.contains_key(&t.ingress))))
 }
 
+/// A group makes no other change while a rollout goes through it.
+pub fn none_under_way(stands: &Decree) -> Result<(), String> {
+    let rollout = stands.rollout.as_ref().filter(|r| !r.phase.ended());
+    rollout.map_or(Ok(()), |r| {
+        let (author, phase) = (&r.author, &r.phase);
+        Err(format!(
+            "a rollout by {author} is under way ({phase}): wait for its end, or wrenctl rollout stop"
+        ))
+    })
+}
+
 /// The decree that a group's part of a plan wants behind the one that stands. Only where it is a part of the members on
 /// purpose may it say nothing of one, which goes on with what it has.
 fn follows(part: &Plan, stands: &Decree, some: bool) -> Result<Decree, String> {
+    none_under_way(stands)?;
     let mut states: BTreeMap<String, Arc<State>> = BTreeMap::new();
     for target in &part.targets {
         let name = &target.ingress;
@@ -145,12 +157,6 @@
             states.insert(seat.name.clone(), Arc::new(state));
         }
     }
-    if let Some(rollout) = stands.rollout.as_ref().filter(|r| !r.phase.ended()) {
-        return Err(format!(
-            "a rollout by {} is under way ({}): wait for its end, or wrenctl rollout stop",
-            rollout.author, rollout.phase
-        ));
-    }
     let (number, policy) = (stands.number + 1, Policy::of(&states));
     Ok(Decree::new(number, part.generation, part.id(), &part.author, stands.roster.clone(), policy))
 }
--- a/crates/ctl/src/rollout/make.rs
+++ b/crates/ctl/src/rollout/make.rs
@@ -2,7 +2,7 @@
 
 use super::terms;
 use super::{Begin, Change};
-use crate::change::apply::{meant, parts, still};
+use crate::change::apply::{meant, none_under_way, parts, still};
 use crate::change::{folder, micros, UNFINISHED};
 use crate::group::decide::{decide, tell, Outcome, Wanted};
 use crate::group::look::look;
@@ -48,6 +48,7 @@
     begin: &Begin,
     halls: &BTreeMap<String, String>,
 ) -> Result<Record, String> {
+    none_under_way(stands)?;
     let (reach, terms) = terms::read(&begin.terms)?;
     let (mut changes, mut of) = (Vec::new(), BTreeMap::new());
     for target in &part.targets {
@@ -91,7 +92,7 @@
     let at = sockets(members);
     let stands = look(&at)?.known()?;
     let names: Vec<String> = stands.policy.own.keys().cloned().collect();
-    // A member that is away stands in no hall that is known; it has its stage like all others.
+    // A member that is away stands in no hall that is known, and comes last.
     let halls: BTreeMap<String, String> = tallies(&at, &names)
         .into_iter()
         .map(|(name, tally)| (name, tally.map(|t| t.hall).unwrap_or_default()))
--- a/crates/ctl/src/rollout/mod.rs
+++ b/crates/ctl/src/rollout/mod.rs
@@ -2,6 +2,7 @@
 //! The members drive it; these commands begin it, hold it, let it go on, stop it, and show it.
 
 mod make;
+mod page;
 mod show;
 mod terms;
 
@@ -20,7 +21,7 @@
     /// How the rollouts of a folder's groups stand
     Status(show::Options),
     /// The same, a line a second, until they end
-    Watch(show::Options),
+    Watch(show::Watching),
     /// Holds a rollout where it stands
     Pause(Change),
     /// Lets a rollout that is held go on
--- a/crates/ctl/src/rollout/show.rs
+++ b/crates/ctl/src/rollout/show.rs
@@ -1,6 +1,7 @@
 //! How rollouts stand.
 
 use super::make::tallies;
+use super::page::Page;
 use crate::change::folder;
 use crate::group::look::look;
 use crate::group::Sockets;
@@ -27,8 +28,27 @@
     folder: PathBuf,
 }
 
+#[derive(Args)]
+pub struct Watching {
+    #[command(flatten)]
+    of: Options,
+    /// Writes a page with tables and a chart when the rollout of the only group there has ended or is held
+    #[arg(long, value_name = "FILE")]
+    page: Option<PathBuf>,
+}
+
 type Group = (String, Sockets);
 
+/// What whoever watches a group remembers.
+#[derive(Default)]
+struct Seen {
+    /// Of the decree with that number.
+    watch: Option<(u64, Watch)>,
+    page: Page,
+    /// Whether it has ended well, or otherwise, or is held.
+    end: Option<bool>,
+}
+
 fn groups(options: &Options) -> Result<Vec<Group>, String> {
     let files = folder::read(&options.folder).map_err(|_| String::new())?;
     if files.groups.is_empty() {
@@ -37,11 +57,15 @@
     Ok(files.groups.iter().map(|(name, group)| (name.clone(), group.links(""))).collect())
 }
 
-fn phase(record: &Record) -> String {
-    let words = match record.phase {
+fn words(record: &Record) -> String {
+    match record.phase {
         Phase::On { stage } => format!("stage {} of {}", stage + 1, record.stages.len()),
         _ => record.phase.to_string(),
-    };
+    }
+}
+
+fn phase(record: &Record) -> String {
+    let words = words(record);
     let styled = match record.phase {
         Phase::On { .. } | Phase::Done => style::good(&words),
         Phase::Held { .. } => style::doubtful(&words),
@@ -87,11 +111,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// One group's line, and whether it has ended or waits.
-fn line(name: &str, at: &Sockets, watch: &mut Option<(u64, Watch)>) -> Result<Option<bool>, String> {
+/// One group's line.
+fn line(name: &str, at: &Sockets, seen: &mut Seen, since: Instant) -> Result<(), String> {
     let decree = stands(at)?;
     let Some(record) = &decree.rollout else { return Err(format!("{name}: no rollout")) };
-    let mut text = phase(record);
+    let (mut text, watch, mut standing) = (phase(record), &mut seen.watch, None);
     if let Phase::On { .. } = record.phase {
         if watch.as_ref().is_none_or(|w| w.0 != decree.number) {
             let fresh = Watch::new(Record::clone(record), decree.number, clock::now());
@@ -108,35 +132,42 @@
             });
             let away =
                 if s.away.is_empty() { String::new() } else { format!(", away: {}", s.away.join(", ")) };
+            standing = Some(s.clone());
             text += &format!(": {} blocks, good {:.1} of {:.0}{worst}{away}", s.blocks, s.good, s.needed);
         }
     }
     anstream::println!("{} {text}", style::head(format!("{name}:")));
-    Ok(match record.phase {
+    seen.page.note(since.elapsed().as_secs_f64(), words(record), record.why.clone(), standing);
+    seen.end = match record.phase {
         Phase::Done => Some(true),
         Phase::Stopped | Phase::Held { .. } => Some(false),
         Phase::On { .. } | Phase::Back { .. } => None,
-    })
+    };
+    Ok(())
 }
 
-pub fn watch(options: &Options) -> Result<ExitCode, String> {
-    let groups = groups(options)?;
-    let mut watches: Vec<Option<(u64, Watch)>> = groups.iter().map(|_| None).collect();
-    let mut ends = vec![None; groups.len()];
+pub fn watch(options: &Watching) -> Result<ExitCode, String> {
+    let groups = groups(&options.of)?;
+    if options.page.is_some() && groups.len() > 1 {
+        return Err("a page is of one group: name the folder of one application".into());
+    }
+    let mut all: Vec<Seen> = groups.iter().map(|_| Seen::default()).collect();
+    let since = Instant::now();
     loop {
         let begun = Instant::now();
-        for (n, (name, at)) in
-            groups.iter().enumerate().filter(|(n, _)| ends[*n].is_none()).collect::<Vec<_>>()
-        {
-            match line(name, at, &mut watches[n]) {
-                Ok(end) => ends[n] = end,
+        for ((name, at), seen) in groups.iter().zip(&mut all).filter(|(_, seen)| seen.end.is_none()) {
+            match line(name, at, seen, since) {
+                Ok(()) => {}
                 Err(why) if groups.len() == 1 && why.ends_with("no rollout") => return Err(why),
                 // Members come and go: as long as there is something to see, it is looked again.
                 Err(why) => anstream::eprintln!("{} {why}", style::doubtful("not known:")),
             }
         }
-        if ends.iter().all(Option::is_some) {
-            let through = ends.iter().all(|e| *e == Some(true));
+        if all.iter().all(|seen| seen.end.is_some()) {
+            for ((name, _), seen) in groups.iter().zip(&all) {
+                options.page.as_ref().map_or(Ok(()), |to| seen.page.write(name, to))?;
+            }
+            let through = all.iter().all(|seen| seen.end == Some(true));
             return Ok(if through { ExitCode::SUCCESS } else { ExitCode::from(NOT_THROUGH) });
         }
         std::thread::sleep(EVERY.saturating_sub(begun.elapsed()));
--- a/crates/ctl/tests/group/rollout.rs
+++ b/crates/ctl/tests/group/rollout.rs
@@ -111,8 +111,10 @@
     group.kill(3);
     let load = group.load();
     says(&group.roll("ann", 2, "[\"1\", \"all\"]"), 0, &["made: stage 1"]);
-    let watched = group.run(&["rollout", "watch", "ann"]);
+    let watched = group.run(&["rollout", "watch", "ann", "--page", "end.html"]);
     says(&watched, 1, &["stopped: all have the old one", "beside the old one"]);
+    let page = fs::read_to_string(group.path("end.html")).unwrap();
+    assert!(page.contains("<b>stopped: all have the old one</b>") && page.contains("<svg"), "{page}");
     group.spawn(3, "");
     group.ready(3);
     assert_eq!(group.agreed(), "p0");
@@ -157,7 +159,8 @@
 #[test]
 fn it_is_held_and_stopped_by_hand_whatever_links_drop() {
     let mut group = Group::started(four());
-    says(&group.roll("ann", 1, "[\"1\", \"50%\", \"all\"]"), 0, &["made: stage 1"]);
+    // Two of each side, so that there is something to compare whoever is cut off.
+    says(&group.roll("ann", 1, "[\"50%\", \"75%\", \"all\"]"), 0, &["made: stage 1"]);
     says(&group.run(&["rollout", "pause", "ann", "--why", "lunch"]), 0, &["made: held"]);
     says(&group.run(&["rollout", "status", "ann"]), 0, &["held in stage 1", "lunch"]);
     says(&group.run(&["rollout", "pause", "ann"]), 1, &["it can't be held"]);
@@ -178,3 +181,83 @@
     drop(load.stop());
     says(&group.run(&["rollout", "status", "ann"]), 0, &["stopped", "enough"]);
 }
+
+/// A disk that takes nothing while a stage begins: the member counts as away, and has its side once it has room.
+#[test]
+fn a_disk_that_is_full_in_a_stage_holds_up_nobody() {
+    use rustix::process::{prlimit, Pid, Resource, Rlimit};
+    let mut group = Group::started(three());
+    let load = group.load();
+    says(&group.roll("ann", 1, "[\"1\", \"all\"]"), 0, &["made: stage 1"]);
+    let old = *group.on("p0").last().expect("two have the old one");
+    let id = Pid::from_raw(group.ingresses[old].as_ref().unwrap().child.id() as i32);
+    let room = |most| prlimit(id, Resource::Fsize, Rlimit { current: most, maximum: None }).unwrap();
+    room(Some(0));
+    group.until("the end", |p| *p == Phase::Done);
+    group.shut(old);
+    room(None);
+    group.ready(old);
+    assert_eq!(group.agreed(), "p1");
+    assert!(load.stop().iter().all(|(_, got)| !matches!(got, Got::Other(_))));
+}
+
+/// Two begin at the same moment, and one of them has; the member that has the new one is frozen for longer than a lease and is no
+/// crash: the stage waits for it, and goes on.
+#[test]
+fn of_two_that_begin_at_once_one_does_and_a_freeze_is_no_crash() {
+    let mut group = Group::started(three());
+    let load = group.load();
+    fs::write(group.path("terms.toml"), format!("{TERMS}stages = [\"1\", \"all\"]\n")).unwrap();
+    for (who, policy) in [("bob", 2), ("ann", 1)] {
+        let planned = group.plan(who, policy);
+        assert_eq!(planned.status.code(), Some(2), "{}", told(&planned));
+    }
+    let both = ["ann", "bob"].map(|who| {
+        let plan = format!("{who}.plan");
+        group.wrenctl(&["rollout", "start", &plan, "--terms", "terms.toml", "--yes"]).spawn().unwrap()
+    });
+    let both = both.map(|child| child.wait_with_output().unwrap());
+    let mut codes = both.each_ref().map(|o| o.status.code());
+    codes.sort_unstable();
+    assert_eq!(codes, [Some(0), Some(1)], "{}\n{}", told(&both[0]), told(&both[1]));
+    let (policy, loser) = if both[0].status.code() == Some(0) { (1, &both[1]) } else { (2, &both[0]) };
+    says(loser, 1, &["is under way"]);
+    let wanted = format!("p{policy}");
+    let new = *group.on(&wanted).first().expect("one has the new one");
+    group.signal(new, "STOP");
+    thread::sleep(4 * LEASE);
+    group.signal(new, "CONT");
+    group.until("the end", |p| *p == Phase::Done);
+    assert_eq!(group.agreed(), wanted);
+    let answers = load.stop();
+    assert!(answers.iter().all(|(_, got)| !matches!(got, Got::Other(_))));
+}
+
+/// Forty members in four halls, in four stages, with a member killed and back in each.
+#[test]
+#[ignore = "some minutes, 40 processes"]
+fn forty_members_in_four_halls() {
+    let mut group = Group::started(Layout { halls: 4, roster: VOTERS.into(), ..Layout::of(40, 0) });
+    let load = group.load();
+    let begun = Instant::now();
+    says(&group.roll("ann", 1, "[\"1\", \"10%\", \"50%\", \"all\"]"), 0, &["made: stage 1", "hall-d"]);
+    for stage in 0..4 {
+        group.until("the stage", |p| *p == Phase::On { stage } || *p == Phase::Done);
+        println!("stage {} after {:.1} s", stage + 1, begun.elapsed().as_secs_f64());
+        // One of the old; where all have the new one it would be a crash.
+        let Some(old) = group.on("p0").into_iter().rfind(|n| *n >= 5) else { break };
+        group.kill(old);
+        thread::sleep(Duration::from_secs(2));
+        group.spawn(old, "");
+    }
+    group.until("the end", |p| *p == Phase::Done);
+    println!("done after {:.1} s", begun.elapsed().as_secs_f64());
+    assert_eq!(group.agreed(), "p1");
+    let answers = load.stop();
+    let other = answers.iter().filter(|(_, got)| matches!(got, Got::Other(_))).count();
+    println!("{} answers, {other} of them neither served nor turned away", answers.len());
+    assert_eq!(other, 0);
+}
+
+/// Five vote.
+const VOTERS: &str = "voters = [\"d0\", \"d1\", \"d2\", \"d3\", \"d4\"]\n";
--- a/crates/ctl/tests/group/site.rs
+++ b/crates/ctl/tests/group/site.rs
@@ -40,6 +40,8 @@
     pub roster: String,
     /// A policy that is worse than the others, and how.
     pub bad: Option<(usize, Bad)>,
+    /// Halls that the ingresses stand in, by turns.
+    pub halls: usize,
 }
 
 /// What is wrong with a policy's node.
@@ -61,6 +63,7 @@
             relays: true,
             roster: String::new(),
             bad: None,
+            halls: 1,
         }
     }
 }
@@ -155,6 +158,7 @@
         };
         // Room for all that clients here ask: what is turned away is turned away for want of a lease.
         let site = include_str!("../../../config/tests/good/site.toml")
+            .replace("[\"hall-a\", \"hall-b\"]", "[\"hall-a\", \"hall-b\", \"hall-c\", \"hall-d\"]")
             .replace("per-weight = \"20/s\"", "per-weight = \"100000/s\"")
             .replace("quota = \"96/min\"\nburst = 7\n", "quota = \"10000/s\"\nburst = 10000\n");
         for place in ["files", "ann", "bob", "alone"] {
@@ -238,7 +242,8 @@
             }
             if n < self.at.len() {
                 let (at, peers) = (self.at[n], self.peers[n]);
-                text += &format!("listen = \"{at}\"\ndiscovery = \"127.0.0.1:1\"\npeers = \"{peers}\"\n");
+                let hall = ["hall-a", "hall-b", "hall-c", "hall-d"][n % self.layout.halls];
+                text += &format!("hall = \"{hall}\"\nlisten = \"{at}\"\ndiscovery = \"127.0.0.1:1\"\npeers = \"{peers}\"\n");
             }
         }
         text += "\n[[account]]\nid = \"00000000000004d3\"\nplan = \"starter\"\nquota = \"9000/s\"\nburst = 9000\n";
--- a/crates/rollout/src/stages.rs
+++ b/crates/rollout/src/stages.rs
@@ -43,7 +43,8 @@
 }
 
 /// The order in which members get the new one: drawn by the rollout's identity, one hall after the other in turn, so that
-/// each hall has both for as long as it can.
+/// each hall has both for as long as it can. One whose hall is not known is away, and comes last: from nobody there is nothing to
+/// learn.
 fn order(id: &Digest, halls: &BTreeMap<String, String>) -> Vec<String> {
     let mut by_hall: BTreeMap<&str, Vec<(Digest, &String)>> = BTreeMap::new();
     for (name, hall) in halls {
@@ -55,7 +56,9 @@
     lists.sort();
     let longest = lists.iter().map(Vec::len).max().unwrap_or(0);
     let turns = (0..longest).flat_map(|turn| lists.iter().filter_map(move |l| l.get(turn)));
-    turns.map(|(_, name)| (*name).clone()).collect()
+    let (away, here): (Vec<&String>, Vec<&String>) =
+        turns.map(|t| t.1).partition(|name| halls[*name].is_empty());
+    here.into_iter().chain(away).cloned().collect()
 }
 
 /// The members of each stage, by their names with their halls.
@@ -139,6 +142,18 @@
         }
     }
 
+    #[test]
+    fn whoever_is_away_comes_last() {
+        let mut of = halls(4);
+        for away in 0..4 {
+            of.insert(format!("n{away}"), String::new());
+            let reach = [Reach::Count(1), Reach::Count(3), Reach::All];
+            let stages = stages(&Digest::of(b"x"), &reach, &of).unwrap();
+            assert_eq!(stages[2], [format!("n{away}")]);
+            of = halls(4);
+        }
+    }
+
     #[test]
     fn stages_that_reach_nobody_new_fall_together() {
         let reach = [Reach::Count(1), Reach::Share(0.1), Reach::Share(0.5), Reach::All];
--- a/crates/rollout/src/watch.rs
+++ b/crates/rollout/src/watch.rs
@@ -91,7 +91,9 @@
         }
         self.compare(seen);
         let all: BTreeSet<&String> = self.record.stages.iter().flatten().collect();
-        let here = |name: &&&String| seen.get(**name).is_some_and(Result::is_ok);
+        // One that answers and has not learnt what stands is as good as away: it serves nobody until it has.
+        let learnt = |t: &Seen| t.as_ref().is_ok_and(|t| t.number >= self.number);
+        let here = |name: &&&String| seen.get(**name).is_some_and(learnt);
         self.away = all.iter().filter(|name| !here(name)).map(|name| name.to_string()).collect();
         match self.away.len() <= self.record.terms.away {
             true => drop(self.there.get_or_insert(now)),
