One look-up of what a plan wants of a member, one measure of idle ingresses

Found on reading the whole change: apply and rollout start each looked up, in the same lines, what a target enforces and what the plan wants of it; two measurements took the processor of idle ingresses in the same lines.

The pairs of the files' form tables, and of struct fields, were left: they are tables.

--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -68,7 +68,7 @@
 }
 
 /// Whether a target still enforces what the plan was made from.
-pub fn still(plan: &Plan, target: &Target, enforces: &Generation) -> Result<(), String> {
+fn still(plan: &Plan, target: &Target, enforces: &Generation) -> Result<(), String> {
     if *enforces == target.base {
         return Ok(());
     }
@@ -121,6 +121,21 @@
     (groups, plan.only(|t| plan.groups.iter().all(|g| !g.contains_key(&t.ingress))))
 }
 
+/// What a target enforces as the plan was made for, and what the plan wants of it.
+pub fn planned<'a>(
+    part: &'a Plan,
+    target: &Target,
+    stands: &Decree,
+) -> Result<(State, &'a Arc<State>), String> {
+    let name = &target.ingress;
+    let (enforces, state) = stands
+        .at(name)
+        .ok_or_else(|| format!("{name}: it is not in the roster any more: make the plan anew"))?;
+    still(part, target, &enforces).map_err(|why| format!("{name}: {why}"))?;
+    let wanted = part.states.get(&target.wanted).ok_or("the plan has no such state")?;
+    Ok((state, wanted))
+}
+
 /// A group makes no other change while a rollout goes through it.
 pub fn none_under_way(stands: &Decree) -> Result<(), String> {
     let rollout = stands.rollout.as_ref().filter(|r| !r.phase.ended());
@@ -138,13 +153,8 @@
     none_under_way(stands)?;
     let mut states: BTreeMap<String, Arc<State>> = BTreeMap::new();
     for target in &part.targets {
-        let name = &target.ingress;
-        let (enforces, _) = stands
-            .at(name)
-            .ok_or_else(|| format!("{name}: it is not in the roster any more: make the plan anew"))?;
-        still(part, target, &enforces).map_err(|why| format!("{name}: {why}"))?;
-        let wanted = part.states.get(&target.wanted).ok_or("the plan has no such state")?;
-        states.insert(name.clone(), wanted.clone());
+        let (_, wanted) = planned(part, target, stands)?;
+        states.insert(target.ingress.clone(), wanted.clone());
     }
     for seat in &stands.roster.seats {
         if let (false, Some((_, state))) = (states.contains_key(&seat.name), stands.at(&seat.name)) {
--- a/crates/ctl/src/rollout/make.rs
+++ b/crates/ctl/src/rollout/make.rs
@@ -2,7 +2,7 @@
 
 use super::terms;
 use super::{Begin, Change};
-use crate::change::apply::{meant, none_under_way, parts, still};
+use crate::change::apply::{meant, none_under_way, parts, planned};
 use crate::change::{folder, micros, UNFINISHED};
 use crate::group::decide::{decide, tell, Outcome, Wanted};
 use crate::group::look::look;
@@ -53,11 +53,7 @@
     let (mut changes, mut of) = (Vec::new(), BTreeMap::new());
     for target in &part.targets {
         let name = &target.ingress;
-        let (enforces, state) = stands
-            .at(name)
-            .ok_or_else(|| format!("{name}: it is not in the roster any more: make the plan anew"))?;
-        still(part, target, &enforces).map_err(|why| format!("{name}: {why}"))?;
-        let wanted = part.states.get(&target.wanted).ok_or("the plan has no such state")?;
+        let (state, wanted) = planned(part, target, stands)?;
         let change = change(&state, wanted);
         let place = changes.iter().position(|c| *c == change).unwrap_or_else(|| {
             changes.push(change);
--- a/crates/ctl/tests/group/measure.rs
+++ b/crates/ctl/tests/group/measure.rs
@@ -87,6 +87,16 @@
     }
 }
 
+/// Percent of a core that ingresses use over a span: the mean, and the most.
+fn idle(group: &Group, count: usize, span: Duration) -> (f64, f64) {
+    let before: Vec<f64> = (0..count).map(|n| spent(group, n)).collect();
+    let start = Instant::now();
+    thread::sleep(span);
+    let span = start.elapsed().as_secs_f64();
+    let used: Vec<f64> = (0..count).map(|n| (spent(group, n) - before[n]) / span * 100.0).collect();
+    (used.iter().sum::<f64>() / count as f64, used.iter().copied().fold(0.0, f64::max))
+}
+
 #[test]
 #[ignore = "a measurement"]
 fn measure_the_cost_of_leases() {
@@ -97,13 +107,8 @@
             (0..count).for_each(|n| group.spawn_by(n, "", files));
             (0..count).for_each(|n| group.ready(n));
             thread::sleep(Duration::from_secs(12));
-            let before: Vec<f64> = (0..count).map(|n| spent(&group, n)).collect();
-            let start = Instant::now();
-            thread::sleep(Duration::from_secs(20));
-            let span = start.elapsed().as_secs_f64();
-            let used: Vec<f64> = (0..count).map(|n| (spent(&group, n) - before[n]) / span * 100.0).collect();
-            let most = used.iter().copied().fold(0.0, f64::max);
-            println!("{count} {files} {:.3} {most:.3}", used.iter().sum::<f64>() / count as f64);
+            let (mean, most) = idle(&group, count, Duration::from_secs(20));
+            println!("{count} {files} {mean:.3} {most:.3}");
         }
     }
 }
@@ -123,13 +128,8 @@
                 assert_eq!(begun.status.code(), Some(0), "{}", told(&begun));
                 thread::sleep(Duration::from_secs(3));
             }
-            let before: Vec<f64> = (0..count).map(|n| spent(&group, n)).collect();
-            let start = Instant::now();
-            thread::sleep(Duration::from_secs(15));
-            let span = start.elapsed().as_secs_f64();
-            let used: Vec<f64> = (0..count).map(|n| (spent(&group, n) - before[n]) / span * 100.0).collect();
-            let most = used.iter().copied().fold(0.0, f64::max);
-            println!("{count} {rolls} {:.3} {most:.3}", used.iter().sum::<f64>() / count as f64);
+            let (mean, most) = idle(&group, count, Duration::from_secs(15));
+            println!("{count} {rolls} {mean:.3} {most:.3}");
         }
     }
 }
