--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -93,6 +93,8 @@
         "A key is the public half of an Ed25519 pair, 64 hex digits in lower case, as `wrenctl keys new` prints it. Another kind of key, a private one, or one of the few that every signature fits is not taken.";
     BadMoment, "C116", Refused, "a moment that can't be read",
         "A moment is written in UTC like `\"2026-12-01T00:00:00Z\"`. A local time would mean something else on each machine.";
+    BadDigest, "C117", Refused, "a file's digest that can't be used",
+        "A program is known by the SHA-256 of its file: 64 hex digits in lower case, as `sha256sum` prints them.";
     NameTwice, "C201", Refused, "the same name twice",
         "What refers to the name could mean either. The place of the first one is shown as well.";
     NoSuchClass, "C202", Refused, "a class that the site does not have",
@@ -187,6 +189,8 @@
         "Each renewal of a lease asks a majority of those that decide, and each change waits for one. Name five or seven of them in `voters`; the others learn and serve as before.";
     IdleWitness, "C419", Refused, "a witness without a roster",
         "A witness keeps promises for a group. Add `[roster]`, or take the witness out.";
+    IdleProgram, "C420", Refused, "a program without a roster",
+        "A program changes in stages, which a group decides. Add `[roster]`, or take the program out and start what is to run by hand.";
 }
 
 impl Code {
--- a/crates/config/src/enforced.rs
+++ b/crates/config/src/enforced.rs
@@ -70,11 +70,15 @@
 const MOST_CLASSES: usize = 250;
 const MOST_PLANS: usize = 60_000;
 
+/// The key of the program that is to run, written `NAME@SHA256`. What serves goes on under it as before: whoever keeps its
+/// process changes it.
+pub const PROGRAM: &str = "program";
+
 /// Whether a key may change while an ingress serves.
 pub fn changeable(key: &str) -> bool {
     let parts: Vec<&str> = key.split('.').collect();
     match parts[..] {
-        ["discovery" | "sends"]
+        ["discovery" | "sends" | PROGRAM]
         | ["grades" | "contracts" | "pools", "count"]
         | ["family_info", "most_units"] => true,
         ["accounts", id] => crate::values::account(id).is_ok(),
@@ -158,6 +162,9 @@
     let place = app.sidecars.iter().find(|c| c.name.value == name);
     let (pools, routes) = ways(app, site, place);
     route(&mut split.state, &pools, &routes);
+    if let Some(program) = &app.program {
+        split.state.insert(PROGRAM.into(), format!("{}@{}", program.name.value, program.sha256.value));
+    }
     app.identity.iter().for_each(|identity| callers::put(&mut split.state, identity));
     Ok((told, split))
 }
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -41,6 +41,8 @@
     Accounts,
     /// An Ed25519 public key, 64 hex digits.
     PublicKey,
+    /// The SHA-256 of a file, 64 hex digits.
+    Digest,
     /// A moment, as RFC 3339 in UTC.
     Moment,
     /// Octal digits of a file's mode, such as `"0660"`.
@@ -390,6 +392,13 @@
             "That the sidecars are a group: a majority decides a change, and serves under it.",
             "",
         ),
+        may(
+            "program",
+            Kind::Table(&PROGRAM),
+            "whichever is started",
+            "The program that the group's sidecars run, where `wrenctl tend` keeps their processes.",
+            "",
+        ),
         may(
             "witness",
             Kind::Tables(&WITNESS, 16),
@@ -576,6 +585,16 @@
     ],
 };
 
+static PROGRAM: Table = Table {
+    name: "program",
+    about: "The program that the group's sidecars run. It changes in stages (`wrenctl rollout`); each machine's keeper of the process knows the file by its digest.",
+    fields: &[
+        must("name", Kind::Name, "What people call this version.", "\"r-12\""),
+        must("sha256", Kind::Digest, "The digest of the program's file, as `sha256sum` prints it.",
+            "\"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\""),
+    ],
+};
+
 static WITNESS: Table = Table {
     name: "witness",
     about: "A member of the group that keeps promises and serves nobody, so that two sidecars survive the loss of either.",
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -100,6 +100,10 @@
 pub(crate) fn check(a: &In<Application>, found: &mut Vec<Diagnostic>) {
     let app = a.content;
     let Some(roster) = &app.roster else {
+        if let Some(program) = &app.program {
+            let message = format!("program \"{}\" has no roster that could bring it in", program.name.value);
+            found.push(a.wrong(Code::IdleProgram, &program.name, message));
+        }
         if let Some(witness) = app.witnesses.first() {
             let message = format!("witness \"{}\" has no roster to keep promises for", witness.name.value);
             found.push(a.wrong(Code::IdleWitness, &witness.name, message));
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -308,6 +308,15 @@
     pub voters: Vec<At<String>>,
 }
 
+/// The program that a group's sidecars run.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// What people call it.
+    pub name: At<String>,
+    /// The digest of its file.
+    pub sha256: At<String>,
+}
+
 /// An account.
 #[derive(Clone, Debug)]
 pub struct Account {
@@ -372,6 +381,8 @@
     pub sidecars: Vec<Sidecar>,
     /// That they are a group; none where each change needs all of them.
     pub roster: Option<Roster>,
+    /// What they run, if they are told.
+    pub program: Option<Program>,
     /// Members of the group that keep promises and serve nobody.
     pub witnesses: Vec<Witness>,
     /// Its accounts.
@@ -483,6 +494,7 @@
             cores: or(limits.number("cores"), 1.0),
             sidecars: f.tables("sidecar").iter().filter_map(sidecar).collect(),
             roster: f.table("roster").map(roster),
+            program: f.table("program").and_then(program),
             witnesses: f.tables("witness").iter().filter_map(witness).collect(),
             accounts: f.tables("account").iter().filter_map(account).collect(),
             pools: f.tables("pool").iter().filter_map(pool).collect(),
@@ -529,6 +541,10 @@
     }
 }
 
+fn program(f: &Fields) -> Option<Program> {
+    Some(Program { name: f.text("name")?, sha256: f.text("sha256")? })
+}
+
 fn account(f: &Fields) -> Option<Account> {
     let (plan, quota, burst) = (f.text("plan"), f.number("quota"), f.number("burst"));
     Some(Account { id: f.whole("id")?, plan, quota, burst })
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -326,6 +326,7 @@
             Kind::Size => (Code::BadSize, values::size(text).map(Value::Whole)),
             Kind::Address => (Code::BadAddress, values::address(text).map(Value::Address)),
             Kind::PublicKey => (Code::BadKey, values::public_key(text).map(Value::Text)),
+            Kind::Digest => (Code::BadDigest, values::digest(text).map(Value::Text)),
             Kind::Moment => (Code::BadMoment, values::moment(text).map(Value::Whole)),
             Kind::NodeAddress => (Code::BadAddress, Address::read(text).map(Value::NodeAddress)),
             Kind::Listener => (Code::BadAddress, values::listener(text).map(Value::Listener)),
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -179,6 +179,16 @@
         .ok_or_else(|| "this is no public key of Ed25519: 64 hex digits in lower case".to_string())
 }
 
+/// The SHA-256 of a file.
+///
+/// # Errors
+///
+/// With what is wrong, in words.
+pub fn digest(text: &str) -> Result<String, String> {
+    let hex = text.len() == 64 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+    hex.then(|| text.to_string()).ok_or_else(|| "this is no SHA-256: 64 hex digits in lower case".to_string())
+}
+
 /// A moment, in seconds of Unix time.
 ///
 /// # Errors
--- a/crates/ctl/src/group/witness.rs
+++ b/crates/ctl/src/group/witness.rs
@@ -97,7 +97,7 @@
     let ledger = Ledger::open(Some(&folder), || Memory::first(1, State::default()))?;
     let listening = socket::listen(&own.control, 0o600).map_err(|why| format!("control: {why}"))?;
     let links = told.links(&own.name);
-    let membership = Membership { charter: told.charter(), links, alone: Alone::Refuse };
+    let membership = Membership { charter: told.charter(), links, alone: Alone::Refuse, inherited: None };
     let keeper = Keeper::start(&own.name, listening, ledger, Witness, MOST, Some(membership))?;
     eprintln!("{} keeps promises at {}", own.name, own.control.display());
     let _ = signals.forever().next();
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! ```text
 //! new: hello (layout)   ->
-//!                       <-  state (length, digest, bytes), or no and why
+//!                       <-  state (length, digest, bytes), or no and why, or the layout to ask for
 //!      ready, or no     ->
 //!                       <-  yours
 //!                       <-  descriptors, in the order that the state tells
--- a/crates/handover/tests/channel.rs
+++ b/crates/handover/tests/channel.rs
@@ -1,12 +1,12 @@
 //! Both ends of the channel against each other, and against ends that fail.
 
 use std::io::{Read, Write};
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
-use wrenfork_handover::channel::{Ancestor, Heir};
+use wrenfork_handover::channel::{borrow, Ancestor, Caller, Heir};
 
 struct Place {
     _folder: tempfile::TempDir,
@@ -23,13 +23,21 @@
 
 const MOST: usize = 1 << 20;
 
+/// Hears the next process, which must read layout 7.
+fn next(stream: UnixStream) -> Result<Heir, String> {
+    match Caller::hear(stream, 7..=7)? {
+        Caller::Next(heir, 7) => Ok(heir),
+        other => Err(format!("{other:?}")),
+    }
+}
+
 #[test]
 fn state_and_descriptors_come_whole_and_in_their_order() {
     let place = place();
     let state: Vec<u8> = (0..300_000u32).map(|n| n as u8).collect();
     let want = state.clone();
     let old = thread::spawn(move || {
-        let mut heir = Heir::hear(place.listener.accept().unwrap().0, 7).unwrap();
+        let mut heir = next(place.listener.accept().unwrap().0).unwrap();
         heir.give(&state).unwrap();
         // Far more than go in a message; each holds its number.
         let pairs: Vec<(UnixStream, UnixStream)> = (0..150).map(|_| UnixStream::pair().unwrap()).collect();
@@ -37,8 +45,8 @@
         heir.pass(there.into_iter().map(OwnedFd::from).collect()).unwrap();
         here.into_iter().zip(0u8..).for_each(|(mut s, n)| s.write_all(&[n]).unwrap());
     });
-    let (mut ancestor, had) = Ancestor::ask(&place.path, 7, MOST).unwrap().unwrap();
-    assert_eq!(had, want);
+    let (mut ancestor, layout, had) = Ancestor::ask(&place.path, 7..=7, MOST).unwrap().unwrap();
+    assert_eq!((layout, had), (7, want));
     ancestor.take().unwrap();
     let all = ancestor.receive(150);
     assert_eq!(all.len(), 150);
@@ -54,9 +62,9 @@
 fn where_nobody_is_there_is_no_error() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("next");
-    assert!(Ancestor::ask(&path, 1, MOST).unwrap().is_none());
+    assert!(Ancestor::ask(&path, 1..=1, MOST).unwrap().is_none());
     drop(UnixListener::bind(&path).unwrap()); // a stale file
-    assert!(Ancestor::ask(&path, 1, MOST).unwrap().is_none());
+    assert!(Ancestor::ask(&path, 1..=1, MOST).unwrap().is_none());
 }
 
 /// Guards against a state of another form that is read as if it were this one's, and a wait without end for it.
@@ -65,14 +73,76 @@
     for (layout, most, why) in [(8, MOST, "layout"), (7, 10, "at most")] {
         let place = place();
         let old = thread::spawn(move || {
-            Heir::hear(place.listener.accept().unwrap().0, 7).and_then(|mut heir| heir.give(&[1; 100]))
+            next(place.listener.accept().unwrap().0).and_then(|mut heir| heir.give(&[1; 100]))
         });
-        assert!(Ancestor::ask(&place.path, layout, most).unwrap_err().contains(why));
+        assert!(Ancestor::ask(&place.path, layout..=layout, most).unwrap_err().contains(why));
         assert!(old.join().unwrap().is_err());
     }
     let (one, mut other) = UnixStream::pair().unwrap();
     other.write_all(b"wrenhnd0\0\0\0\x07").unwrap();
-    assert!(Heir::hear(one, 7).unwrap_err().contains("another version"));
+    assert!(next(one).unwrap_err().contains("another version"));
+}
+
+/// Guards against neighbours that could understand each other and begin anew all the same, and against asking for ever.
+#[test]
+fn the_highest_layout_that_both_know_is_spoken() {
+    for (old, new, spoken) in [(4..=5, 5..=6, 5), (5..=6, 4..=5, 5), (4..=4, 4..=6, 4), (4..=6, 6..=7, 6)] {
+        let place = place();
+        let serving = thread::spawn(move || loop {
+            if let Ok(Caller::Next(mut heir, layout)) =
+                Caller::hear(place.listener.accept().unwrap().0, old.clone())
+            {
+                heir.give(&layout.to_be_bytes()).unwrap();
+                return layout;
+            }
+        });
+        let (mut ancestor, layout, state) = Ancestor::ask(&place.path, new, MOST).unwrap().unwrap();
+        ancestor.take().unwrap();
+        assert_eq!((layout, &state[..]), (spoken, &u32::to_be_bytes(spoken)[..]));
+        assert_eq!(serving.join().unwrap(), spoken);
+    }
+    let place = place();
+    let old = thread::spawn(move || Caller::hear(place.listener.accept().unwrap().0, 2..=3).map(drop));
+    assert!(Ancestor::ask(&place.path, 4..=5, MOST).unwrap_err().contains("state of layout 3, not 5"));
+    assert!(old.join().unwrap().is_err());
+}
+
+/// Guards against a newer process that can't follow one from before there was more than one layout, which says no in words.
+#[test]
+fn one_that_turns_other_layouts_down_in_words_is_asked_again() {
+    let place = place();
+    let old = thread::spawn(move || {
+        for wanted in [6u32, 5] {
+            let (mut stream, mut hello) = (place.listener.accept().unwrap().0, [0; 12]);
+            stream.read_exact(&mut hello).unwrap();
+            assert_eq!(hello[8..], wanted.to_be_bytes());
+            stream.write_all(b"Nstate of layout 4, not that").unwrap();
+        }
+        let (mut stream, mut hello) = (place.listener.accept().unwrap().0, [0; 12]);
+        stream.read_exact(&mut hello).unwrap();
+        assert_eq!(hello[8..], 4u32.to_be_bytes());
+        stream.write_all(b"Nnot now").unwrap();
+    });
+    let why = Ancestor::ask(&place.path, 4..=6, MOST).unwrap_err();
+    assert!(why.contains("not now"), "{why}");
+    old.join().unwrap();
+}
+
+/// Guards against a listener that is lost with whoever held it.
+#[test]
+fn the_listener_is_lent_to_whoever_keeps_the_process() {
+    let place = place();
+    assert!(borrow(&place.path.with_extension("none")).unwrap().is_none());
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let old = thread::spawn(move || match Caller::hear(place.listener.accept().unwrap().0, 7..=7).unwrap() {
+        Caller::Keeper(lender) => lender.lend(listener.as_fd()).unwrap(),
+        other => panic!("{other:?}"),
+    });
+    let (lent, process) = borrow(&place.path).unwrap().unwrap();
+    assert_eq!(process, std::process::id());
+    assert_eq!(std::net::TcpListener::from(lent).local_addr().unwrap(), at);
+    old.join().unwrap();
 }
 
 /// Guards against a state that was spoilt or cut on its way.
@@ -89,7 +159,7 @@
             said.extend_from_slice(if cut { b"ab" } else { b"abcd" });
             stream.write_all(&said).unwrap();
         });
-        assert!(Ancestor::ask(&place.path, 7, MOST).unwrap_err().contains("not whole"));
+        assert!(Ancestor::ask(&place.path, 7..=7, MOST).unwrap_err().contains("not whole"));
         old.join().unwrap();
     }
 }
@@ -101,7 +171,7 @@
     let (one, mut other) = UnixStream::pair().unwrap();
     other.write_all(b"wrenhnd1\0\0\0\x07").unwrap();
     let start = Instant::now();
-    assert!(Heir::hear(one, 7).unwrap().give(b"state").unwrap_err().contains("no word in time"));
+    assert!(next(one).unwrap().give(b"state").unwrap_err().contains("no word in time"));
     assert!(start.elapsed() < Duration::from_secs(10));
     // The old one says nothing behind the state: it is not the new one's, and can't become so.
     let place = place();
@@ -122,7 +192,7 @@
         assert_eq!(word[0], b'R');
         stream
     });
-    let (mut ancestor, state) = Ancestor::ask(&place.path, 7, MOST).unwrap().unwrap();
+    let (mut ancestor, _, state) = Ancestor::ask(&place.path, 7..=7, MOST).unwrap().unwrap();
     assert!(state.is_empty());
     assert!(ancestor.take().unwrap_err().contains("no word in time"));
     let mut late = old.join().unwrap();
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -13,7 +13,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 use std::ops::Range;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use wrenfork_decision::{Micros, RequestId};
 use wrenfork_wire::call::{Call, Vocabulary};
 use wrenfork_wire::resp;
@@ -408,6 +408,14 @@
         self.conns.iter().filter(|(_, c)| !c.slots.is_empty() || !c.out.is_empty()).count()
     }
 
+    /// The listening socket, where it is one of TCP that is still open.
+    pub fn listening(&self) -> Option<BorrowedFd<'_>> {
+        match self.listener.as_ref()? {
+            Listener::Tcp(listener) => Some(listener.as_fd()),
+            Listener::Unix(..) => None,
+        }
+    }
+
     /// Accepts what waits, for as long as `room` finds a place for one more.
     pub fn accept(
         &mut self,
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -295,6 +295,7 @@
                 charter: g.charter(),
                 links: g.links(&enforced::called(app, name)),
                 alone: if g.as_known { Alone::AsKnown } else { Alone::Refuse },
+                inherited: None,
             }),
         };
         Ok(config)
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -12,6 +12,7 @@
 use wrenfork_control::participant::Memory;
 use wrenfork_control::protocol::{Ask, Record, Say};
 use wrenfork_control::state::{Generation, State};
+use wrenfork_keeper::group::Inherited;
 use wrenfork_keeper::ledger::Ledger;
 use wrenfork_keeper::{client, clock, socket, Enforcer, Keeper};
 use wrenfork_rollout::tally::Tally;
@@ -21,13 +22,15 @@
 const TURN: Duration = Duration::from_secs(30);
 /// How long another ingress may take to say what it enforces, at a start without a folder.
 const OTHERS: Duration = Duration::from_secs(1);
+/// The thread that follows another process reads what is kept; nothing there goes deep.
+const STACK: usize = 512 << 10;
 /// The part of the memory that one message may take: it is parsed, and a promise is kept beside what is enforced.
 const MESSAGE_SHARE: usize = 8;
 
 /// What the loop is to do between two turns.
 pub enum Order {
-    /// Enforce this from now on.
-    Switch(Box<Enforced>, SyncSender<Vocabulary>),
+    /// Enforce this from now on, which is what a state says.
+    Switch(Box<Enforced>, Box<State>, SyncSender<Vocabulary>),
     /// Tell how it goes.
     Figures(SyncSender<Figures>),
     /// Tell what was counted.
@@ -51,14 +54,17 @@
         Gate::of(self.keeper.gate())
     }
 
-    /// Whether it belongs to a group.
-    pub fn grouped(&self) -> bool {
-        self.keeper.gate().is_some()
-    }
-
-    /// The descriptors that it may take besides those that each ingress has to spare.
-    pub fn descriptors(&self) -> usize {
-        self.keeper.descriptors()
+    /// Passes the control side on with all else, see [`Keeper::hand_over`].
+    ///
+    /// # Errors
+    ///
+    /// Where all goes on as before.
+    pub fn hand_over<T>(
+        &self,
+        mut meanwhile: impl FnMut(Vec<Order>),
+        give: impl FnOnce(Option<Inherited>) -> Result<T, String>,
+    ) -> Result<T, String> {
+        self.keeper.hand_over(|| meanwhile(self.orders()), give)
     }
 
     /// Ends the control side.
@@ -100,7 +106,8 @@
     fn switch(&self, state: &State) -> Result<(), String> {
         let enforced = compile(&self.fixed, state)?;
         // What was in its place comes back, to be dropped here: of 100,000 accounts that takes the loop some milliseconds.
-        self.order(|done| Order::Switch(Box::new(enforced), done)).map(drop)
+        let state = Box::new(state.clone());
+        self.order(|done| Order::Switch(Box::new(enforced), state, done)).map(drop)
     }
 
     fn figures(&self) -> Figures {
@@ -145,6 +152,76 @@
     most: usize,
 }
 
+/// The control side of a process that another one handed over to: it comes once that has let go of the folder and the socket.
+/// Until then the loop serves on by the right that it was passed.
+pub struct Coming(Receiver<(Port, Option<Stands>)>);
+
+/// What is kept and has to be enforced, with what it says.
+pub type Stands = (Box<Enforced>, Box<State>);
+
+impl Coming {
+    /// It, once it is there; and what is kept, where that is not what was handed over.
+    pub fn take(&self) -> Option<(Port, Option<Stands>)> {
+        self.0.try_recv().ok()
+    }
+}
+
+/// Between two tries at what another process lets go of, the first and the longest.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(500));
+
+/// Whether an ingress has a control side.
+pub fn wanted(config: &Config) -> bool {
+    config.control.socket.is_some() || config.control.state.is_some()
+}
+
+/// Opens what is kept and serves the control socket as soon as the process before has let go of both; it enforces `state`, as
+/// the loop does by now.
+///
+/// # Errors
+///
+/// Where no thread can be had.
+pub fn follow(
+    config: &Config,
+    state: State,
+    right: Option<Inherited>,
+    registry: &Registry,
+    token: Token,
+) -> Result<Coming, String> {
+    let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
+    let (control, fixed, most) = (config.control.clone(), config.told.fixed.clone(), config.memory / MESSAGE_SHARE);
+    let (sender, coming) = channel();
+    let (waker, mut control) = (Arc::new(waker), control);
+    if let Some(membership) = &mut control.membership {
+        membership.inherited = right;
+    }
+    let begin = move || {
+        let (mut pause, mut told) = (AGAIN.0, false);
+        loop {
+            let first = || Memory::first(1, state.clone());
+            let ledger = Ledger::open(control.state.as_deref(), first);
+            let kept = ledger.map(|ledger| Kept { control: control.clone(), fixed: fixed.clone(), ledger, most });
+            match kept.and_then(|kept| kept.resume(&state, waker.clone())) {
+                Ok(Some(come)) => {
+                    // Nobody takes it any more where the ingress has ended meanwhile.
+                    let _ = sender.send(come);
+                    let _ = waker.wake();
+                    return;
+                }
+                Ok(None) => return,
+                Err(why) if pause >= AGAIN.1 && !std::mem::replace(&mut told, true) => {
+                    tracing::warn!("control: {why}; trying again");
+                }
+                Err(_) => {}
+            }
+            std::thread::sleep(pause);
+            pause = (pause * 2).min(AGAIN.1);
+        }
+    };
+    let thread = std::thread::Builder::new().name("control".into()).stack_size(STACK);
+    thread.spawn(begin).map_err(|e| format!("control: no thread: {e}"))?;
+    Ok(Coming(coming))
+}
+
 /// Opens what is kept, and has the configuration say what was enforced last: the files say what is wanted, and that is
 /// applied or not.
 ///
@@ -152,7 +229,7 @@
 ///
 /// Where the folder can't be used, or what is kept there can't be enforced by this program.
 pub fn open(config: &mut Config) -> Result<Option<Kept>, String> {
-    if config.control.socket.is_none() && config.control.state.is_none() {
+    if !wanted(config) {
         return Ok(None);
     }
     let (control, own) = (config.control.clone(), State(config.told.state.clone()));
@@ -171,6 +248,7 @@
     }
     config.enforced = compile(&config.told.fixed, &memory.state)
         .map_err(|why| format!("state: generation {number}, which was enforced last, can't be: {why}"))?;
+    config.told.state = memory.state.0.clone();
     tracing::info!(generation = number, digest = digest.short(), "control: enforcing");
     if let Some((promise, _)) = &memory.promise {
         let (change, author) = (promise.change.short(), promise.author.as_str());
@@ -216,12 +294,30 @@
     ///
     /// Where the socket can't be had.
     pub fn serve(self, registry: &Registry, token: Token) -> Result<Option<Port>, String> {
+        let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
+        self.listen(Arc::new(waker))
+    }
+
+    /// The same behind another process, whose loop's state is what must be enforced.
+    fn resume(self, state: &State, waker: Arc<Waker>) -> Result<Option<(Port, Option<Stands>)>, String> {
+        // What is written is enforced before anything else is done: both had been when the other process handed over. Where a
+        // folder was put in another's place meanwhile, what is kept there stands.
+        let kept = self.ledger.memory().state.clone();
+        let stands = if *kept == *state {
+            None
+        } else {
+            tracing::warn!("control: what was handed over is not what is kept, which is enforced from now on");
+            Some((Box::new(compile(&self.fixed, &kept)?), Box::new(State::clone(&kept))))
+        };
+        Ok(self.listen(waker)?.map(|port| (port, stands)))
+    }
+
+    fn listen(self, waker: Arc<Waker>) -> Result<Option<Port>, String> {
         let Some(path) = &self.control.socket else { return Ok(None) };
         let socket = socket::listen(path, 0o600).map_err(|why| format!("control: {why}"))?;
-        let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
         let (sender, orders) = channel();
         let (life, began) = (RandomState::new().hash_one(0), Instant::now());
-        let served = Loop { fixed: self.fixed, orders: sender, waker: Arc::new(waker), life, began };
+        let served = Loop { fixed: self.fixed, orders: sender, waker, life, began };
         let keeper = Keeper::start(
             &self.control.name,
             socket,
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -6,22 +6,25 @@
 use crate::backends::{Backends, Done, Link, Work};
 use crate::clients::{Accepted, Clients, Incoming, Origin};
 use crate::clock::Clock;
-use crate::config::{Config, Enforced, Listen};
-use crate::control::{Kept, Order, Port};
+use crate::config::{Config, Enforced, Listen, Told};
+use crate::control::{self, Coming, Order, Port};
 use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
 use crate::ledger::{End, Ledger, Now};
 use crate::management::{self, Ask, Management, MOST_CALLERS};
 use crate::peers::Peers;
+use crate::gate::Gate;
 use crate::reload::Reload;
 use crate::requests::{Attempt, Place, Requests, LONGEST_WAIT};
 use crate::room::Budget;
 use crate::routing::Routing;
 use crate::shutdown::Shutdown;
+use crate::status::Status;
 use crate::stream::Listener;
 use crate::takeover::{self, Given, Inherited, Offer, Taken};
 use crate::tallies::Tallies;
 use crate::timers::{Due, Timers};
+use crate::variant::Variant;
 use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
@@ -33,10 +36,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use wrenfork_control::figures::{Figures, PlanUse};
+use wrenfork_control::state::State;
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Micros, Outcome, RequestId, RosterKind,
 };
+use wrenfork_handover::channel::{Caller, Heir};
 use wrenfork_handover::inherit;
+use wrenfork_keeper::group::Inherited as Right;
 use wrenfork_keeper::socket::{self, Socket};
 use wrenfork_wire::call::{Call, Vocabulary};
 use wrenfork_wire::resp;
@@ -64,7 +70,9 @@
 const ON_THE_WAY: Micros = 2_000;
 
 /// The ingress.
-pub struct Ingress {
+pub struct Ingress<V> {
+    /// The version of the program that this is.
+    variant: V,
     poll: Poll,
     clock: Clock,
     now: Micros,
@@ -87,6 +95,8 @@
     /// The file of the clients' socket, where it is one.
     socket: Option<Socket>,
     control: Option<Port>,
+    /// The control side that is still to come, behind another process.
+    coming: Option<Coming>,
     ledger: Ledger,
     tallies: Tallies,
     management: Option<Management>,
@@ -140,12 +150,13 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP, SIGXFSZ]).map_err(|e| format!("cannot take signals: {e}"))
 }
 
-impl Ingress {
+impl<V: Variant> Ingress<V> {
     /// Opens the sockets. From here on clients may come; they are served once [`Ingress::run`] runs.
     pub fn start(
-        config: Config,
-        kept: Option<Kept>,
-        reload: Reload,
+        variant: V,
+        mut config: Config,
+        told: Told,
+        status: Status,
         mut signals: Signals,
     ) -> Result<Self, String> {
         let failed = |what: &str, e: io::Error| format!("{what}: {e}");
@@ -176,15 +187,33 @@
             .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
         registered.map_err(|e| failed("cannot poll", e))?;
         // Where the platform holds the listener, another process of this ingress may be serving at this moment. What callers
-        // have proved does not pass to another process, nor what is planned and applied.
-        let passed = config.passed.is_some() && config.enforced.callers.is_none() && kept.is_none();
+        // have proved does not pass to another process, nor does what is kept in memory alone of what was applied.
+        let controlled = control::wanted(&config);
+        let keeps = !controlled || config.control.state.is_some();
+        let passed = config.passed.is_some() && config.enforced.callers.is_none() && keeps;
         let next = match &config.listen {
             Listen::Tcp(at) => passed.then(|| takeover::path(*at)),
             Listen::Unix(..) => None,
         };
-        let taken = next.as_deref().and_then(|path| takeover::ask(path, config.memory));
+        let taken = next.as_deref().and_then(|path| takeover::ask::<V>(path, config.memory));
+        let mut control = None;
+        if taken.is_none() {
+            let kept = control::open(&mut config)?;
+            control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
+        }
+        let reload = Reload::new(told, &config, status);
+        let membership = config.control.membership.as_ref();
+        let mut coming = None;
+        let mut gate = control.as_ref().map(Port::gate).unwrap_or_default();
+        if let Some(Taken { state, right, .. }) = taken.as_ref().filter(|_| controlled) {
+            let stands = State(state.told.state.clone());
+            coming = Some(control::follow(&config, stands, *right, registry, CONTROL)?);
+            // A member whose right did not come lets nothing in before it has one.
+            let none = Right { number: 0, until: None, gate: 0 };
+            gate = Gate::of(membership.map(|m| right.unwrap_or(none).gate(m)));
+        }
         let (inherited, enforced, descriptors) = match taken {
-            Some(Taken { state, enforced, descriptors }) => (Some(state), enforced, descriptors),
+            Some(Taken { state, enforced, descriptors, .. }) => (Some(state), enforced, descriptors),
             None => (None, config.enforced, Vec::new()),
         };
         let mut descriptors = descriptors.into_iter();
@@ -200,17 +229,16 @@
         let peers = peers.transpose()?;
         let clock = inherited.as_ref().map_or_else(Clock::new, |i| Clock::resume(i.clocks));
         let now = clock.now();
-        let control = kept.map(|k| k.serve(registry, CONTROL)).transpose()?.flatten();
         let Enforced { settings, vocabulary, routes, callers, discovery, connect_timeout, keepalive } =
             enforced;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let grouped = control.as_ref().map_or(0, Port::descriptors);
+        let grouped = membership.map_or(0, |m| wrenfork_keeper::descriptors(m.links.len()));
         let budget = Budget::new(config.sockets, config.management.is_some(), grouped)?;
         let management =
             management::open(config.management, registry, MANAGEMENT, |key| Token(CALLERS + key))?;
         let ledger = Ledger::new(names(&vocabulary));
         let mut tallies = Tallies::default();
-        if control.as_ref().is_some_and(Port::grouped) {
+        if membership.is_some() {
             tallies.begin();
         }
         tallies.enforce(&settings, &vocabulary);
@@ -218,6 +246,7 @@
         let mut timers = Timers::default();
         timers.set(now + SWEEP, Due::Sweep);
         let mut ingress = Ingress {
+            variant,
             poll,
             clock,
             now,
@@ -236,9 +265,10 @@
             backends: Backends::new(connect_timeout, keepalive, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(discovery, config.sites, config.known.index, DISCOVERY, config.seed),
             reload,
-            routing: Routing::new(routes, !config.platform || control.is_some()),
+            routing: Routing::new(routes, !config.platform || controlled),
             socket,
             control,
+            coming,
             ledger,
             tallies,
             management,
@@ -257,7 +287,7 @@
             told_unfound: false,
         };
         ingress.clients.ask(callers);
-        ingress.clients.gate = ingress.control.as_ref().map(Port::gate).unwrap_or_default();
+        ingress.clients.gate = gate;
         match inherited {
             Some(inherited) => ingress.resume(inherited, descriptors),
             None => ingress.take_roster(config.known, RosterKind::Cached),
@@ -288,6 +318,7 @@
             ready.extend(
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
+            self.variant.turn(self.requests.owing_count());
             self.turn(&mut ready);
             self.take_orders();
             if self.hand_over() {
@@ -459,16 +490,18 @@
         if !std::mem::take(&mut self.asked_to_hand_over) {
             return false;
         }
-        while let Some(heir) = self.offer.as_ref().and_then(Offer::next) {
+        while let Some(caller) = self.offer.as_ref().and_then(Offer::next::<V>) {
             let began = self.clock.now();
-            // One that was told to stop ends by itself, and the next one begins anew.
-            let stopping = self.shutdown.begun();
-            let given = heir.and_then(|mut heir| {
-                self.take_incoming();
-                let given =
-                    if stopping { Err("told to stop".into()) } else { takeover::bytes(&self.given()) };
-                given.and_then(|bytes| heir.give(&bytes)).map(|()| heir)
-            });
+            let given = match caller {
+                Ok(Caller::Next(heir, layout)) => self.give(heir, layout),
+                Ok(Caller::Keeper(lender)) => {
+                    if let Some(Err(why)) = self.clients.listening().map(|listener| lender.lend(listener)) {
+                        tracing::warn!("handover: {why}");
+                    }
+                    continue;
+                }
+                Err(why) => Err(why),
+            };
             let mut heir = match given {
                 Ok(heir) => heir,
                 Err(why) => {
@@ -491,6 +524,39 @@
         false
     }
 
+    /// Gives all away, with the control side where there is one. With an error it is this process's as before.
+    fn give(&mut self, mut heir: Heir, layout: u32) -> Result<Heir, String> {
+        // One that was told to stop ends by itself, and the next one begins anew.
+        if self.shutdown.begun() {
+            return Err("told to stop".into());
+        }
+        if self.clients.words.asks {
+            return Err("what callers have proved does not pass to another process".into());
+        }
+        if self.coming.is_some() {
+            return Err("what the process before kept has not come yet".into());
+        }
+        let Some(control) = self.control.take() else {
+            self.take_incoming();
+            let bytes = takeover::bytes::<V>(layout, &self.given(), None)?;
+            return heir.give(&bytes).map(|()| heir);
+        };
+        let ingress = std::cell::RefCell::new(self);
+        let given = control.hand_over(
+            |orders| ingress.borrow_mut().carry_out_orders(orders),
+            |right| {
+                let mut this = ingress.borrow_mut();
+                this.take_incoming();
+                let bytes = takeover::bytes::<V>(layout, &this.given(), right)?;
+                heir.give(&bytes)
+            },
+        );
+        if given.is_err() {
+            ingress.into_inner().control = Some(control);
+        }
+        given.map(|()| heir)
+    }
+
     fn given(&self) -> Given<'_> {
         Given {
             told: self.reload.told(),
@@ -520,7 +586,7 @@
         self.watch.resume(watch);
         (self.accept_more, self.peers_more) = (true, true);
         self.take_incoming();
-        if let Some(enforced) = self.reload.resume(told) {
+        if let Some(enforced) = self.reload.resume(told, self.coming.is_none()) {
             drop(self.switch(*enforced));
         }
         tracing::info!(connections, "taken over from the process before");
@@ -530,11 +596,25 @@
 
     /// Takes what the control side asks for, between two turns.
     fn take_orders(&mut self) {
+        if let Some((port, stands)) = self.coming.as_ref().and_then(Coming::take) {
+            self.coming = None;
+            self.clients.gate = port.gate();
+            self.control = Some(port);
+            if let Some((enforced, state)) = stands {
+                self.reload.stands(state.0);
+                drop(self.switch(*enforced));
+            }
+        }
         let orders = self.control.as_ref().map_or(Vec::new(), Port::orders);
+        self.carry_out_orders(orders);
+    }
+
+    fn carry_out_orders(&mut self, orders: Vec<Order>) {
         for order in orders {
             // Whoever asked may have given up: the answer is lost then, and nothing else.
             match order {
-                Order::Switch(enforced, done) => {
+                Order::Switch(enforced, state, done) => {
+                    self.reload.stands(state.0);
                     let old = self.switch(*enforced);
                     let _ = done.send(old);
                 }
@@ -622,7 +702,7 @@
     fn take_signals(&mut self) {
         // All that came since the last look, several of one kind as one.
         let came: Vec<i32> = self.signals.pending().collect();
-        if came.contains(&SIGHUP) && self.control.is_some() {
+        if came.contains(&SIGHUP) && (self.control.is_some() || self.coming.is_some()) {
             self.reload.refuse("changes are planned and applied here, with wrenctl plan and apply");
         } else if came.contains(&SIGHUP) {
             self.reload.asked();
@@ -885,7 +965,10 @@
         }
         if outcome == Outcome::Ok {
             // The first one is the final answer.
-            self.answer(id, &value, End::Served);
+            match self.spoils(id) {
+                true => self.fail(id),
+                false => self.answer(id, &value, End::Served),
+            }
         }
         let complete = self.requests.get(id).is_none_or(|o| o.over);
         let (metered, charged) = (None, None);
@@ -903,6 +986,16 @@
         self.forget(id);
     }
 
+    /// Whether this version of the program makes a failure of what was served; the shipped one never.
+    fn spoils(&mut self, id: RequestId) -> bool {
+        let open = self.requests.owing_count();
+        let (Some(request), words) = (self.requests.get(id), &self.clients.words) else { return false };
+        let request = &request.call.request;
+        let class = words.classes.get(usize::from(request.class)).map_or("", |c| c.0.as_str());
+        let plan = words.plans.get(usize::from(request.plan)).map_or("", String::as_str);
+        self.variant.spoils(class, plan, open)
+    }
+
     /// Gives the final answer, once: here, and nowhere else, a request that was let in ends.
     fn answer(&mut self, id: RequestId, text: &[u8], end: End) {
         if let Some(open) = self.requests.owing(id) {
@@ -955,7 +1048,7 @@
             }
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
-                    peers.tell(to, &bytes);
+                    (0..V::COPIES).for_each(|_| peers.tell(to, &bytes));
                 }
             }
             Action::Probe(backend) => self.probe(backend),
--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -41,9 +41,18 @@
         &self.has
     }
 
-    /// Goes on with what another process enforced; what the files say by now, if that is something else.
-    pub fn resume(&mut self, has: enforced::Told) -> Option<Box<Enforced>> {
+    /// This is what stands: it was applied, whatever the files say.
+    pub fn stands(&mut self, state: Pairs) {
+        self.has.state = state;
+    }
+
+    /// Goes on with what another process enforced; what the files say by now, if that is something else and `by_files` is what
+    /// decides.
+    pub fn resume(&mut self, has: enforced::Told, by_files: bool) -> Option<Box<Enforced>> {
         self.has = has;
+        if !by_files {
+            return None;
+        }
         let read = self.told.read(|_| None).and_then(|config| {
             let wanted = config.told.state;
             let same = align(&[&self.has.state], &wanted)? == self.has.state;
--- a/crates/ingress/src/takeover.rs
+++ b/crates/ingress/src/takeover.rs
@@ -16,12 +16,19 @@
 use wrenfork_config::enforced::Told;
 use wrenfork_control::state::State;
 use wrenfork_decision::{Gateway, Micros};
-use wrenfork_handover::channel::{Ancestor, Heir};
+use wrenfork_handover::channel::{Ancestor, Caller};
+use wrenfork_keeper::group::Inherited as Right;
 use wrenfork_keeper::socket::{self, Socket};
 
-/// The number of the state's form. It changes with every change of what is kept in it, here or in the module: a process of
-/// another form begins anew rather than read it wrongly.
-const LAYOUT: u32 = 4;
+/// The number of the state's form. It grows with every change of what is kept in it, here or in the module: a process of
+/// another form must not read it wrongly. What a form has more than the one before stands behind all of that, so that a
+/// neighbour's is written by leaving that away, and read with what it means that it is not there:
+///
+/// - 4: [`Given`].
+/// - 5: and the right to serve of a member of a group.
+pub const LAYOUT: u32 = 5;
+/// The oldest form that is written and read here.
+pub const OLDEST: u32 = 4;
 /// The part of the memory that a state may take on its way, as it stands there beside what it is read into.
 const MEMORY_SHARE: usize = 4;
 
@@ -44,6 +51,24 @@
     pub backends: backends::Saved<&'a Conn>,
 }
 
+/// What a version of the program keeps behind all that, in forms that this one does not know; the shipped one nothing.
+pub trait Form {
+    /// The newest form that it writes and reads.
+    const LAYOUT: u32 = LAYOUT;
+
+    /// Writes what a form beyond [`LAYOUT`] has more.
+    fn write(_layout: u32, _state: &mut Vec<u8>) {}
+
+    /// Reads it.
+    ///
+    /// # Errors
+    ///
+    /// Where it is something else.
+    fn read(_layout: u32, rest: &[u8]) -> Result<(), String> {
+        rest.is_empty().then_some(()).ok_or_else(|| "there is more than its form has".into())
+    }
+}
+
 /// The same, as the new process reads it.
 #[derive(Deserialize)]
 pub struct Inherited {
@@ -62,6 +87,8 @@
 /// What was taken over.
 pub struct Taken {
     pub state: Inherited,
+    /// The right to serve of a member of a group; none where the other process's form has none.
+    pub right: Option<Right>,
     pub enforced: Enforced,
     pub descriptors: Vec<OwnedFd>,
 }
@@ -72,8 +99,8 @@
 }
 
 /// Takes over from the process that serves at this moment; none if there is none, or it can't: then this one begins anew.
-pub fn ask(path: &Path, memory: usize) -> Option<Taken> {
-    match try_ask(path, memory) {
+pub fn ask<F: Form>(path: &Path, memory: usize) -> Option<Taken> {
+    match try_ask::<F>(path, memory) {
         Ok(taken) => taken,
         Err(why) => {
             tracing::warn!(
@@ -84,17 +111,16 @@
     }
 }
 
-fn try_ask(path: &Path, memory: usize) -> Result<Option<Taken>, String> {
-    let Some((mut ancestor, bytes)) = Ancestor::ask(path, LAYOUT, memory / MEMORY_SHARE)? else {
-        return Ok(None);
-    };
-    let read = postcard::from_bytes::<Inherited>(&bytes).map_err(|e| format!("the state can't be read: {e}"));
+fn try_ask<F: Form>(path: &Path, memory: usize) -> Result<Option<Taken>, String> {
+    let asked = Ancestor::ask(path, OLDEST..=F::LAYOUT, memory / MEMORY_SHARE)?;
+    let Some((mut ancestor, layout, bytes)) = asked else { return Ok(None) };
     // All that may fail comes before it is this process's.
-    let read = read.and_then(|state| {
+    let read = read::<F>(layout, &bytes).and_then(|(state, right)| {
         let enforced = compile(&state.told.fixed, &State(state.told.state.clone()));
-        enforced.map(|enforced| (state, enforced)).map_err(|why| format!("what it enforces can't be: {why}"))
+        let enforced = enforced.map_err(|why| format!("what it enforces can't be: {why}"))?;
+        Ok((state, right, enforced))
     });
-    let (state, enforced) = match read {
+    let (state, right, enforced) = match read {
         Ok(read) => read,
         Err(why) => {
             ancestor.decline(&why);
@@ -111,7 +137,19 @@
             count - descriptors.len()
         );
     }
-    Ok(Some(Taken { state, enforced, descriptors }))
+    Ok(Some(Taken { state, right, enforced, descriptors }))
+}
+
+/// Reads a state of a form.
+fn read<F: Form>(layout: u32, bytes: &[u8]) -> Result<(Inherited, Option<Right>), String> {
+    let told = |e: postcard::Error| format!("the state can't be read: {e}");
+    let (state, mut rest) = postcard::take_from_bytes::<Inherited>(bytes).map_err(told)?;
+    let mut right = None;
+    if layout >= 5 {
+        (right, rest) = postcard::take_from_bytes(rest).map_err(told)?;
+    }
+    F::read(layout, rest)?;
+    Ok((state, right))
 }
 
 /// The offer to the next process.
@@ -137,9 +175,9 @@
     }
 
     /// Whoever asks next.
-    pub fn next(&self) -> Option<Result<Heir, String>> {
+    pub fn next<F: Form>(&self) -> Option<Result<Caller, String>> {
         let (stream, _) = self.listener.accept().ok()?;
-        Some(Heir::hear(UnixStream::from(OwnedFd::from(stream)), LAYOUT))
+        Some(Caller::hear(UnixStream::from(OwnedFd::from(stream)), OLDEST..=F::LAYOUT))
     }
 
     /// The ingress ends, with nobody behind it.
@@ -148,11 +186,19 @@
     }
 }
 
-/// The bytes of a state.
+/// The bytes of a state, in a form.
 ///
 /// # Errors
 ///
-/// Where it can't be written down.
-pub fn bytes(state: &Given) -> Result<Vec<u8>, String> {
-    postcard::to_stdvec(state).map_err(|e| format!("the state can't be written: {e}"))
+/// Where it can't be written down, or a process of that form could not go on with it.
+pub fn bytes<F: Form>(layout: u32, state: &Given, right: Option<Right>) -> Result<Vec<u8>, String> {
+    if layout < 5 && right.is_some() {
+        return Err(format!("a process of layout {layout} knows no right to serve, and this is a member of a group"));
+    }
+    let mut bytes = postcard::to_stdvec(state).map_err(|e| format!("the state can't be written: {e}"))?;
+    if layout >= 5 {
+        bytes = postcard::to_extend(&right, bytes).map_err(|e| format!("the state can't be written: {e}"))?;
+    }
+    F::write(layout, &mut bytes);
+    Ok(bytes)
 }
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -7,6 +7,7 @@
 use crate::links::{self, Link};
 use crate::rollout::{under_way, Driving};
 use crate::{Enforcer, Inner};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io::Write;
@@ -49,6 +50,27 @@
     pub links: BTreeMap<String, PathBuf>,
     /// What is done without a lease.
     pub alone: Alone,
+    /// What the process before had, where it has handed over to this one.
+    pub inherited: Option<Inherited>,
+}
+
+/// The right to serve, as it passes from one process of a member to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inherited {
+    /// The decree that it is under.
+    pub number: u64,
+    /// Until when, by [`clock::now`]; none without a lease.
+    pub until: Option<Duration>,
+    /// The microsecond up to which requests are let in: the same, or the last there is where it serves on alone.
+    pub gate: u64,
+}
+
+impl Inherited {
+    /// What stands before requests until the control side is there again; see [`Gate::pause_ms`].
+    pub fn gate(&self, membership: &Membership) -> Gate {
+        let pause_ms = micros(membership.charter.lease() / 3) / 1_000;
+        Gate { until: Arc::new(AtomicU64::new(self.gate)), pause_ms }
+    }
 }
 
 /// A number by chance, never 0.
@@ -89,7 +111,6 @@
     standing: Mutex<Standing>,
     gate: Gate,
     alone: Alone,
-    members: usize,
     started: Duration,
     wake: UnixStream,
     closed: AtomicBool,
@@ -104,13 +125,21 @@
         let failed = |e: std::io::Error| format!("control: no wake-up: {e}");
         let (wake, woken) = UnixStream::pair().map_err(failed)?;
         wake.set_nonblocking(true).and_then(|()| woken.set_nonblocking(true)).map_err(failed)?;
-        let started = clock::now();
-        let standing = Standing::new(name, memory, membership.charter.clone(), drawn(), started);
+        let now = clock::now();
+        let mut standing = Standing::new(name, memory, membership.charter.clone(), drawn(), now);
+        let inherited = membership.inherited.as_ref();
+        if let Some((number, until)) = inherited.and_then(|i| Some((i.number, i.until?))) {
+            standing.inherit(number, until);
+        }
+        // One that was serving on alone goes on so.
+        let started = if inherited.is_some_and(|i| i.gate == u64::MAX) { Duration::ZERO } else { now };
         let pause_ms = standing.every().as_millis() as u64;
         let gate = Gate { until: Arc::default(), pause_ms };
-        let (alone, members) = (membership.alone, membership.links.len());
+        let alone = membership.alone;
         let (standing, closed) = (Mutex::new(standing), AtomicBool::new(false));
-        Ok((Arc::new(Shared { standing, gate, alone, members, started, wake, closed }), woken))
+        let shared = Shared { standing, gate, alone, started, wake, closed };
+        shared.publish(&shared.standing(), now);
+        Ok((Arc::new(shared), woken))
     }
 
     pub fn standing(&self) -> MutexGuard<'_, Standing> {
@@ -145,17 +174,15 @@
         let _ = (&self.wake).write(&[0]); // full: it is awake
     }
 
-    /// How many belong to it, as far as is known here.
-    pub fn members(&self) -> usize {
-        self.members
-    }
-
     pub fn closed(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
 
+    /// Ends it. Once this has returned nothing is granted here any more.
     pub fn close(&self) {
+        let standing = self.standing();
         self.closed.store(true, Ordering::Release);
+        drop(standing);
         self.wake();
     }
 
@@ -164,7 +191,18 @@
         let Ask::Renew { from, folder, age, number, ready } = ask else {
             return Say::No { why: "this is no renewal".into() };
         };
-        self.standing().renew(from, *folder, *age, *number, ready.as_ref(), clock::now())
+        let mut standing = self.standing();
+        if self.closed() {
+            return Say::No { why: "it is stopping".into() };
+        }
+        standing.renew(from, *folder, *age, *number, ready.as_ref(), clock::now())
+    }
+
+    /// The right to serve as it stands now, for the process that comes after.
+    pub fn passed_on(&self) -> Inherited {
+        let standing = self.standing();
+        let number = standing.decree().map_or(0, |d| d.number);
+        Inherited { number, until: standing.until(), gate: self.gate.until.load(Ordering::Acquire) }
     }
 
     /// Milliseconds for which this member may still serve by its lease; none where it has none.
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -21,12 +21,12 @@
 
 use connections::{Connection, Connections};
 use fault::Faults;
-use group::{Driver, Gate, Membership, Shared};
+use group::{Driver, Gate, Inherited, Membership, Shared};
 use ledger::Ledger;
 use socket::Socket;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, TryLockError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use wrenfork_control::figures::Figures;
 use wrenfork_control::participant::{Participant, Step};
@@ -41,6 +41,8 @@
 const MOST_CONNECTIONS: usize = 8;
 /// How long a connection may say nothing, or read nothing.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// How long an ask may still take before a handover is put off: the next process waits for a second at each step.
+const QUIET: Duration = Duration::from_millis(200);
 /// Threads here parse and hash; none goes deep.
 const STACK: usize = 512 << 10;
 
@@ -175,12 +177,6 @@
         self.shared.as_ref().map(|s| s.gate())
     }
 
-    /// The descriptors that belonging to a group may take: connections of members and to members, and those of a rollout that
-    /// is driven here.
-    pub fn descriptors(&self) -> usize {
-        self.shared.as_ref().map_or(0, |s| MOST_CONNECTIONS + 3 * s.members())
-    }
-
     fn serve(
         inner: &Mutex<Inner<E>>,
         shared: Option<&Shared>,
@@ -262,15 +258,54 @@
         Ok(())
     }
 
-    /// Ends: what comes from now on is refused, the store is closed, and the socket is gone if it is still this one's.
-    pub fn close(self) {
+    /// Passes all that this side keeps on to the next process of this ingress. `give` hands over, with the right to serve as it
+    /// stands: while it runs nothing is promised, written or switched here, and if it succeeds nothing ever is again. `meanwhile`
+    /// is called while an ask is under way, which may wait for the loop.
+    ///
+    /// # Errors
+    ///
+    /// Where `give` fails, or an ask takes too long: all goes on as before.
+    pub fn hand_over<T>(
+        &self,
+        mut meanwhile: impl FnMut(),
+        give: impl FnOnce(Option<Inherited>) -> Result<T, String>,
+    ) -> Result<T, String> {
+        let begun = clock::now();
+        let mut inner = loop {
+            match self.inner.try_lock() {
+                Ok(inner) => break inner,
+                Err(TryLockError::Poisoned(inner)) => break inner.into_inner(),
+                Err(TryLockError::WouldBlock) if clock::now() < begun + QUIET => {
+                    meanwhile();
+                    std::thread::sleep(QUIET / 200);
+                }
+                Err(TryLockError::WouldBlock) => return Err("a change is being made".into()),
+            }
+        };
+        let given = give(self.shared.as_ref().map(|s| s.passed_on()))?;
+        self.shut(&mut inner);
+        Ok(given)
+    }
+
+    /// No vote first, then the store, whose lock is what the next process waits for.
+    fn shut(&self, inner: &mut Inner<E>) {
         if let Some(shared) = &self.shared {
             shared.close();
         }
-        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.ledger.close();
         self.socket.remove();
     }
+
+    /// Ends: what comes from now on is refused, the store is closed, and the socket is gone if it is still this one's.
+    pub fn close(self) {
+        self.shut(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+/// The descriptors that belonging to a group of so many may take: connections of members and to members, and those of a rollout
+/// that is driven here.
+pub fn descriptors(members: usize) -> usize {
+    MOST_CONNECTIONS + 3 * members
 }
 
 /// On one core, requests come first: this thread takes what the loop leaves. Where that is refused it goes on as it is.
--- a/crates/roster/src/lease.rs
+++ b/crates/roster/src/lease.rs
@@ -111,6 +111,15 @@
         standing
     }
 
+    /// Goes on with the lease under decree `number` that the process before had when it handed all over to this one. Its holder
+    /// is the same member with the same clock, and it has not been asked for anew: the argument above holds as it stands.
+    pub fn inherit(&mut self, number: u64, until: Duration) {
+        let serves = self.roster().and_then(|r| r.seat(&self.name)).is_some_and(|s| s.kind == Kind::Ingress);
+        if serves && number == self.number() {
+            self.until = Some(self.until.map_or(until, |u| u.max(until)));
+        }
+    }
+
     /// The roster that stands.
     pub fn roster(&self) -> Option<&Roster> {
         self.decree.as_ref().map(|d| &d.roster)
@@ -395,6 +404,26 @@
         Roster::new(1, 1_500, ["a", "b", "c"].into_iter().enumerate().map(seat).collect()).unwrap()
     }
 
+    /// Guards against a lease that outlives its decree, its end, or its holder's seat by way of a handover.
+    #[test]
+    fn a_lease_passes_to_the_next_process_under_the_same_decree_alone() {
+        let decree = Arc::new(Decree::new(4, 1, Digest::default(), "", roster(), Policy::default()));
+        let begun = |name: &str| {
+            let memory = Memory { decree: Some(decree.clone()), ..Memory::fresh(name, 1) };
+            Standing::new(name, &memory, Roster::default(), 1, Duration::from_secs(9))
+        };
+        let (until, mut next) = (Duration::from_secs(10), begun("a"));
+        next.inherit(3, until);
+        assert_eq!(next.until(), None, "another decree stands by now");
+        next.inherit(4, until);
+        next.inherit(4, Duration::from_secs(8));
+        assert_eq!(next.until(), Some(until));
+        let mut stranger = begun("z");
+        stranger.inherit(4, until);
+        assert_eq!(stranger.until(), None);
+        assert!(next.sure().is_err(), "it votes once others have answered it, as after any start");
+    }
+
     /// Guards against a member that goes on under the old decree though the proposer never heard that it is ready, or heard
     /// it in another ballot, and so neither waits for it nor misses it.
     #[test]
