--- a/crates/config/src/enforced.rs
+++ b/crates/config/src/enforced.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
+use wrenfork_rollout::record::PROGRAM;
 use wrenfork_routes::{Pool, PoolNo, Route, Selector, Table, Trial};
 
 /// Keys with their values.
@@ -70,10 +71,6 @@
 const MOST_CLASSES: usize = 250;
 const MOST_PLANS: usize = 60_000;
 
-/// The key of the program that is to run, written `NAME@SHA256`. What serves goes on under it as before: whoever keeps its
-/// process changes it.
-pub const PROGRAM: &str = "program";
-
 /// Whether a key may change while an ingress serves.
 pub fn changeable(key: &str) -> bool {
     let parts: Vec<&str> = key.split('.').collect();
--- a/crates/ctl/src/change/apply.rs
+++ b/crates/ctl/src/change/apply.rs
@@ -19,6 +19,7 @@
 use wrenfork_control::figures::Figures;
 use wrenfork_control::plan::{Plan, Target};
 use wrenfork_control::state::{Digest, Generation, State};
+use wrenfork_rollout::record::PROGRAM;
 use wrenfork_roster::decree::{Decree, Policy};
 
 #[derive(Args)]
@@ -153,7 +154,12 @@
     none_under_way(stands)?;
     let mut states: BTreeMap<String, Arc<State>> = BTreeMap::new();
     for target in &part.targets {
-        let (_, wanted) = planned(part, target, stands)?;
+        let (state, wanted) = planned(part, target, stands)?;
+        let (has, wants) = (state.0.get(PROGRAM), wanted.0.get(PROGRAM));
+        // What runs may be named; from then on it changes in stages.
+        if has.is_some() && wants.is_some() && has != wants {
+            return Err(format!("{}: its program changes in stages: wrenctl rollout start", target.ingress));
+        }
         states.insert(target.ingress.clone(), wanted.clone());
     }
     for seat in &stands.roster.seats {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -10,6 +10,7 @@
 mod rollout;
 mod route;
 mod style;
+mod tend;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -53,6 +54,8 @@
     Rollout(rollout::Verb),
     /// Runs a member of a group that keeps promises and serves nobody
     Witness(group::witness::Options),
+    /// Keeps an ingress's process on a machine without the platform: starts, restarts and changes its program
+    Tend(tend::Options),
     /// Tells who planned, applied and rolled back what
     History(change::history::Options),
 }
@@ -71,6 +74,7 @@
         Verb::Roster(verb) => group::roster::main(&verb),
         Verb::Rollout(verb) => rollout::main(&verb),
         Verb::Witness(options) => group::witness::main(&options),
+        Verb::Tend(options) => tend::main(&options),
         Verb::History(options) => change::history::main(&options),
     }
 }
--- a/crates/ctl/src/rollout/make.rs
+++ b/crates/ctl/src/rollout/make.rs
@@ -1,6 +1,6 @@
 //! Begins a rollout, and has it take a step that somebody wants.
 
-use super::terms;
+use super::{programs, terms};
 use super::{Begin, Change};
 use crate::change::apply::{meant, none_under_way, parts, planned};
 use crate::change::{folder, micros, UNFINISHED};
@@ -94,6 +94,7 @@
         .map(|(name, tally)| (name, tally.map(|t| t.hall).unwrap_or_default()))
         .collect();
     let first = record(part, &stands, begin, &halls)?;
+    programs::check(&first, &begin.programs)?;
     stages_of(&first, &halls);
     if !start {
         return Ok(ExitCode::SUCCESS);
--- a/crates/ctl/src/rollout/mod.rs
+++ b/crates/ctl/src/rollout/mod.rs
@@ -3,6 +3,7 @@
 
 mod make;
 mod page;
+mod programs;
 mod show;
 mod terms;
 
@@ -38,6 +39,9 @@
     /// The stages and what is asked of them
     #[arg(long, value_name = "FILE")]
     terms: PathBuf,
+    /// The files of the programs that the plan changes from and to: what they speak is compared
+    #[arg(long = "program", value_name = "FILE")]
+    programs: Vec<PathBuf>,
     /// Does not ask whether it is meant
     #[arg(long)]
     yes: bool,
--- a/crates/ctl/src/rollout/page.rs
+++ b/crates/ctl/src/rollout/page.rs
@@ -169,6 +169,7 @@
         let mut page = Page::default();
         assert!(page.html("empty").is_ok(), "nothing was seen yet");
         let standing = |stake| Standing {
+            changing: Vec::new(),
             measures: vec![(Measure::Late, 0.031, stake)],
             good: 2.0,
             needed: 400.0,
--- /dev/null
+++ b/crates/ctl/src/rollout/programs.rs
@@ -0,0 +1,59 @@
+//! Whether the programs that a rollout changes from and to may serve side by side: asked of the files themselves.
+
+use crate::style;
+use crate::tend::{digest, speaks};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use wrenfork_rollout::record::{Record, PROGRAM};
+use wrenfork_versions::{compare, Program, Speaks};
+
+/// What the file of a program says, by the digests of those that are given.
+fn said(program: &Program, files: &BTreeMap<String, &PathBuf>) -> Result<Speaks, String> {
+    let path = files.get(&program.sha256).ok_or_else(|| {
+        let short = &program.sha256[..8];
+        format!(
+            "the plan changes the program, and no --program FILE has the digest {short} of {}",
+            program.name
+        )
+    })?;
+    let speaks = speaks(path)?;
+    Ok(Speaks { version: program.name.clone(), ..speaks })
+}
+
+/// Tells what is lost, and refuses what could not be taken back.
+///
+/// # Errors
+///
+/// Where a file is missing, says nothing of itself, or the two must not be in service together.
+pub fn check(record: &Record, given: &[PathBuf]) -> Result<(), String> {
+    let changes: BTreeSet<&(Option<String>, Option<String>)> =
+        record.changes.iter().filter_map(|change| change.get(PROGRAM)).collect();
+    if changes.is_empty() {
+        return Ok(());
+    }
+    let mut files = BTreeMap::new();
+    for path in given {
+        files.insert(digest(path)?, path);
+    }
+    for (old, new) in changes {
+        let (Some(old), Some(new)) = (old, new) else {
+            anstream::println!(
+                "{} nobody said what ran before, or what is to run: nothing is compared",
+                style::doubtful("programs:")
+            );
+            continue;
+        };
+        let (old, new) = (Program::read(old)?, Program::read(new)?);
+        let report = compare(&said(&old, &files)?, &said(&new, &files)?);
+        if !report.refused.is_empty() {
+            return Err(format!("from {} to {}: {}", old.name, new.name, report.refused.join("; ")));
+        }
+        for lost in &report.lost {
+            anstream::println!("{} {lost}", style::doubtful("lost:"));
+        }
+        if report.lost.is_empty() {
+            anstream::println!("from {} to {}: each process hands over to the next", old.name, new.name);
+        }
+    }
+    Ok(())
+}
--- a/crates/ctl/src/rollout/show.rs
+++ b/crates/ctl/src/rollout/show.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// A program for people: its name, or that nobody says.
+fn runs(program: &str) -> &str {
+    program.split('@').next().filter(|name| !name.is_empty()).unwrap_or("what nobody names")
+}
+
 /// What is known of a group's rollout.
 fn stands(at: &Sockets) -> Result<Arc<Decree>, String> {
     look(at)?.known()
@@ -100,6 +105,9 @@
                 let has = if new.contains(member.as_str()) { "new" } else { "old" };
                 let note = match &seen[member] {
                     Ok(t) if t.number < decree.number => "it has not learnt this yet".to_string(),
+                    Ok(t) if !t.unfit.is_empty() => t.unfit.clone(),
+                    Ok(t) if !record.fits(member, &t.program) => format!("still runs {}", runs(&t.program)),
+                    Ok(t) if record.changes_programs() => format!("runs {}", runs(&t.program)),
                     Ok(_) => String::new(),
                     Err(why) => format!("away: {why}"),
                 };
@@ -132,8 +140,15 @@
             });
             let away =
                 if s.away.is_empty() { String::new() } else { format!(", away: {}", s.away.join(", ")) };
+            let changing = match s.changing.len() {
+                0 => String::new(),
+                _ => format!(", changing: {}", s.changing.join(", ")),
+            };
             standing = Some(s.clone());
-            text += &format!(": {} blocks, good {:.1} of {:.0}{worst}{away}", s.blocks, s.good, s.needed);
+            text += &format!(
+                ": {} blocks, good {:.1} of {:.0}{worst}{away}{changing}",
+                s.blocks, s.good, s.needed
+            );
         }
     }
     anstream::println!("{} {text}", style::head(format!("{name}:")));
--- a/crates/ctl/tests/group/main.rs
+++ b/crates/ctl/tests/group/main.rs
@@ -1,6 +1,7 @@
 //! Changes of policy at groups of real processes, with faults between them: each holds everywhere or nowhere.
 
 mod measure;
+mod programs;
 mod rollout;
 mod site;
 
--- /dev/null
+++ b/crates/ctl/tests/group/programs.rs
@@ -0,0 +1,159 @@
+//! Programs that go through a group in stages, with keepers of their processes: by real processes, odd ones among them.
+
+use super::rollout::says_of_rollout;
+use super::says;
+use super::site::*;
+use std::fs;
+use std::thread;
+use std::time::Duration;
+use wrenfork_fleet::small::*;
+use wrenfork_rollout::record::Phase;
+
+fn kept(versions: &[&'static str]) -> Layout {
+    Layout { versions: versions.to_vec(), ..Layout::of(4, 1) }
+}
+
+impl Group {
+    /// Begins a rollout of a version of the program.
+    fn roll_program(&mut self, who: &str, to: usize, stages: &str, more: &str) -> std::process::Output {
+        let from = self.wants_version;
+        self.wants_version = to;
+        let planned = self.plan(who, self.wants);
+        assert_eq!(planned.status.code(), Some(2), "{}", told(&planned));
+        says_of_rollout(self, stages, more);
+        let [old, new] = [from, to].map(|n| version(self.layout.versions[n]).0.display().to_string());
+        let plan = format!("{who}.plan");
+        let line = [
+            "rollout",
+            "start",
+            &plan,
+            "--terms",
+            "terms.toml",
+            "--yes",
+            "--program",
+            &old,
+            "--program",
+            &new,
+        ];
+        self.run(&line)
+    }
+
+    /// Waits until every ingress that runs runs a version.
+    fn all_run(&self, version: &str) {
+        self.wait(&format!("all run {version}"), || {
+            (0..self.at.len()).all(|n| self.runs(n).as_deref() == Some(version))
+        });
+    }
+
+    fn running(&self, version: &str) -> usize {
+        (0..self.at.len()).filter(|n| self.runs(*n).as_deref() == Some(version)).count()
+    }
+}
+
+/// No connection of a client's ends and no request is turned back: a new program goes through a group by handover.
+#[test]
+fn a_good_program_goes_through_and_no_request_is_lost() {
+    let mut group = Group::started(kept(&["equal", "newer"]));
+    group.all_run("equal");
+    let load = group.load();
+    let mut clients: Vec<Client> = group.at.iter().map(|at| Client::connect(*at)).collect();
+    let mut served = |round: u64| {
+        for (n, client) in clients.iter_mut().enumerate() {
+            let answer = client.ask(&probe(1 << 50 | round << 10 | n as u64));
+            assert!(answer.starts_with("policy p0"), "kept through the change: {answer}");
+        }
+    };
+    served(0);
+    says(&group.roll_program("ann", 1, "[\"1\", \"50%\", \"all\"]", ""), 0, &["made: stage 1", "hands over"]);
+    group.until("the end", |p| *p == Phase::Done);
+    group.all_run("newer");
+    assert_eq!(group.agreed(), "p0");
+    served(1);
+    let answers = load.stop();
+    let wrong: Vec<_> = answers.iter().filter(|(_, got)| !matches!(got, Got::Policy(_))).take(5).collect();
+    assert!(wrong.is_empty() && answers.len() > 1_000, "{wrong:?} of {}\n{}", answers.len(), group.logs());
+    let remembered =
+        |n: usize| fs::read_to_string(group.path(&format!("tend-{n}/tend.json"))).unwrap_or_default();
+    group.wait("it has proven itself everywhere", || {
+        (0..4).all(|n| remembered(n).contains("\"proven\": \"newer@"))
+    });
+    // A machine that starts again begins with that one.
+    group.kill(0);
+    let id = group.process(0).expect("it goes on without its keeper");
+    end(id, "KILL");
+    group.wait("it is gone", || group.process(0).is_none());
+    group.spawn(0, "");
+    group.ready(0);
+    assert_eq!(group.runs(0).as_deref(), Some("newer"));
+}
+
+/// What fails, dies or never comes into service is stopped in the first stage, and all run the old one again.
+#[test]
+fn bad_programs_are_stopped_in_their_first_stage() {
+    for (word, why) in
+        [("fails:30", "beside the old one"), ("dies:1500", "started again"), ("never", "come into service")]
+    {
+        let mut group = Group::started(kept(&["equal", word]));
+        group.all_run("equal");
+        let load = group.load();
+        says(&group.roll_program("ann", 1, "[\"1\", \"all\"]", ""), 0, &["made: stage 1"]);
+        let mut most = 0;
+        let name = word.replace(':', "-");
+        group.until("its stop", |p| {
+            most = most.max(group.running(&name));
+            *p == Phase::Stopped
+        });
+        says(&group.run(&["rollout", "status", "ann"]), 0, &["stopped: all have the old one", why]);
+        group.all_run("equal");
+        assert_eq!(group.agreed(), "p0");
+        assert!(most <= 1, "{word}: {most} had it");
+        drop(load.stop());
+    }
+}
+
+/// A rollout that could not be taken back does not begin, nor one without the files that say so.
+#[test]
+fn what_speaks_otherwise_is_refused_before_it_begins() {
+    let mut group = Group::started(kept(&["equal", "stranger"]));
+    let refused = group.roll_program("ann", 1, "[\"all\"]", "");
+    says(&refused, 1, &["could not be taken back", "peers' messages", "control lines"]);
+    let line = ["rollout", "start", "ann.plan", "--terms", "terms.toml", "--yes"];
+    says(&group.run(&line), 1, &["no --program FILE has the digest"]);
+    says(&group.run(&["apply", "ann.plan", "--yes"]), 1, &["its program changes in stages"]);
+    group.all_run("equal");
+}
+
+/// Its keeper dies and comes back without the ingress noticing; in the middle of a change as well.
+#[test]
+fn a_keeper_that_dies_is_not_noticed() {
+    let mut group = Group::started(kept(&["equal", "newer"]));
+    let load = group.load();
+    let before: Vec<_> = (0..4).map(|n| group.process(n)).collect();
+    for n in 0..4 {
+        group.kill(n);
+    }
+    thread::sleep(Duration::from_millis(500));
+    (0..4).for_each(|n| group.spawn(n, ""));
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(before, (0..4).map(|n| group.process(n)).collect::<Vec<_>>());
+    says(&group.roll_program("ann", 1, "[\"1\", \"all\"]", ""), 0, &["made: stage 1"]);
+    // Killed at every step of the change: whichever process is left is found, and the change goes on.
+    let mut kills = 0;
+    group.wait("the first one runs it", || group.running("newer") > 0);
+    group.until("the last stage", |p| matches!(p, Phase::On { stage: 1 } | Phase::Done));
+    while group.running("newer") < 4 {
+        for n in 0..4 {
+            group.kill(n);
+            group.spawn(n, "");
+        }
+        kills += 1;
+        thread::sleep(Duration::from_millis(300 + 70 * (kills % 8)));
+        assert!(kills < 100, "{}", group.logs());
+    }
+    group.until("the end", |p| *p == Phase::Done);
+    group.all_run("newer");
+    assert_eq!(group.agreed(), "p0");
+    let answers = load.stop();
+    let wrong: Vec<_> = answers.iter().filter(|(_, got)| matches!(got, Got::Other(_))).take(5).collect();
+    assert!(wrong.is_empty() && answers.len() > 1_000, "{wrong:?} of {}\n{}", answers.len(), group.logs());
+}
--- a/crates/ctl/tests/group/rollout.rs
+++ b/crates/ctl/tests/group/rollout.rs
@@ -16,12 +16,17 @@
     "version = 1\nkind = \"rollout\"\nwatch = \"2s\"\npatience = \"50s\"\npause = \"300ms\"\n\
                      away = 1\nworse = 0.1\nerror = 0.2\n";
 
+/// Writes the terms of a rollout: its stages, and more.
+pub fn says_of_rollout(group: &Group, stages: &str, more: &str) {
+    fs::write(group.path("terms.toml"), format!("{TERMS}stages = {stages}\n{more}")).unwrap();
+}
+
 impl Group {
     /// Begins a rollout of a policy as one of the appliers.
     pub fn roll(&mut self, who: &str, policy: usize, stages: &str) -> Output {
         let planned = self.plan(who, policy);
         assert_eq!(planned.status.code(), Some(2), "{}", told(&planned));
-        fs::write(self.path("terms.toml"), format!("{TERMS}stages = {stages}\n")).unwrap();
+        says_of_rollout(self, stages, "");
         let plan = format!("{who}.plan");
         self.run(&["rollout", "start", &plan, "--terms", "terms.toml", "--yes"])
     }
@@ -32,11 +37,11 @@
         stands.max_by_key(|s| s.number)?.rollout
     }
 
-    fn until(&self, what: &str, wanted: impl Fn(&Phase) -> bool) {
+    pub fn until(&self, what: &str, mut wanted: impl FnMut(&Phase) -> bool) {
         let start = Instant::now();
         loop {
             let phase = self.phase();
-            if phase.as_ref().is_some_and(&wanted) {
+            if phase.as_ref().is_some_and(&mut wanted) {
                 return;
             }
             assert!(start.elapsed() < 3 * LONG, "in vain: {what}: {phase:?}\n{}", self.logs());
--- a/crates/ctl/tests/group/site.rs
+++ b/crates/ctl/tests/group/site.rs
@@ -1,5 +1,6 @@
 //! A group of real processes with relays between their control sockets, clients that ask all the time, and the judge.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -11,6 +12,7 @@
 use wrenfork_fleet::judge::policy::{judge, Answer, Change, Said};
 use wrenfork_fleet::links::Links;
 use wrenfork_fleet::small::*;
+use wrenfork_handover::channel;
 use wrenfork_keeper::{client, fault};
 use wrenfork_roster::protocol::{Ask, Say, Stand};
 
@@ -26,6 +28,35 @@
     Path::new(env!("CARGO_BIN_EXE_wrenctl")).with_file_name(name)
 }
 
+/// The file of a version of the program, by what is odd with it, and its digest.
+pub fn version(word: &str) -> (PathBuf, String) {
+    static MADE: Mutex<BTreeMap<String, (PathBuf, String)>> = Mutex::new(BTreeMap::new());
+    let mut made = MADE.lock().unwrap_or_else(|e| e.into_inner());
+    let make = || {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("versions");
+        fs::create_dir_all(&folder).unwrap();
+        let name = word.replace(':', "-");
+        let (path, new) = (folder.join(&name), folder.join(format!("{name}.{}", std::process::id())));
+        fs::write(path.with_extension("odd"), word).unwrap();
+        fs::copy(program("examples/odd"), &new).unwrap();
+        // Its own bytes behind the end make it a file of its own.
+        let mut file = fs::OpenOptions::new().append(true).open(&new).unwrap();
+        std::io::Write::write_all(&mut file, word.as_bytes()).unwrap();
+        drop(file);
+        let output = Command::new("sha256sum").arg(&new).output().unwrap();
+        let sha256 = String::from_utf8(output.stdout).unwrap()[..64].to_string();
+        fs::rename(&new, &path).unwrap();
+        (path, sha256)
+    };
+    made.entry(word.into()).or_insert_with(make).clone()
+}
+
+/// Sends a signal to a process that was started here.
+pub fn end(id: u32, name: &str) {
+    let line = format!("kill -{name} {id}");
+    let _ = Command::new("/bin/sh").args(["-c", &line]).stderr(Stdio::null()).status();
+}
+
 /// How a group is laid out.
 #[derive(Clone)]
 pub struct Layout {
@@ -42,6 +73,11 @@
     pub bad: Option<(usize, Bad)>,
     /// Halls that the ingresses stand in, by turns.
     pub halls: usize,
+    /// The versions of the program that keepers of the processes have, by what is odd with them; none where the ingresses
+    /// are started as they are.
+    pub versions: Vec<&'static str>,
+    /// More lines of the keepers' files.
+    pub tend: &'static str,
 }
 
 /// What is wrong with a policy's node.
@@ -64,6 +100,8 @@
             roster: String::new(),
             bad: None,
             halls: 1,
+            versions: Vec::new(),
+            tend: "",
         }
     }
 }
@@ -79,6 +117,8 @@
     _backends: Vec<Backend>,
     /// The policy that the files want.
     pub wants: usize,
+    /// The version of the program that they want.
+    pub wants_version: usize,
     start: Instant,
     pub changes: Vec<Change>,
 }
@@ -153,6 +193,7 @@
             links,
             _backends: backends,
             wants: 0,
+            wants_version: 0,
             start: Instant::now(),
             changes: Vec::new(),
         };
@@ -221,6 +262,11 @@
         let mut text =
             "version = 1\nkind = \"application\"\nname = \"desk\"\nsite = \"bangna\"\n".to_string();
         text += "sends = [\"quote\", \"save-scenario\"]\n";
+        if !self.layout.versions.is_empty() {
+            let (path, sha256) = version(self.layout.versions[self.wants_version]);
+            let name = path.file_name().unwrap().display();
+            text += &format!("\n[program]\nname = \"{name}\"\nsha256 = \"{sha256}\"\n");
+        }
         if place != "alone" {
             let ms = self.layout.lease.as_millis();
             text += &format!("\n[roster]\nlease = \"{ms}ms\"\nalone = \"refuse\"\n{}", self.layout.roster);
@@ -262,7 +308,15 @@
         let folder = self.folder.path().display().to_string();
         let files = if self.layout.as_known.contains(&n) { format!("files-{n}") } else { files.to_string() };
         let fault = if fault.is_empty() { String::new() } else { format!("{}={fault} ", fault::VARIABLE) };
-        if n < self.at.len() {
+        if n < self.at.len() && !self.layout.versions.is_empty() {
+            assert!(fault.is_empty());
+            let line = format!(
+                "TMPDIR={folder} exec '{}' tend {folder}/tend-{n}.toml >/dev/null 2>>{folder}/log-{n}",
+                env!("CARGO_BIN_EXE_wrenctl"),
+            );
+            fs::write(self.path(&format!("tend-{n}.toml")), self.tend(n)).unwrap();
+            self.ingresses[n] = Some(Ingress::run("", self.at[n], &line));
+        } else if n < self.at.len() {
             let line = format!(
                 "{fault}exec '{}' --app {folder}/{files}/desk.toml --fleet {folder}/elsewhere/fleet.json --sidecar {} 2>>{folder}/log-{n}",
                 program("wrenfork").display(),
@@ -389,6 +443,40 @@
         output
     }
 
+    /// What the keeper of an ingress's process is told.
+    fn tend(&self, n: usize) -> String {
+        let folder = self.folder.path().display();
+        let mut text = format!(
+            "version = 1\nkind = \"tend\"\nlisten = \"{}\"\ncontrol = \"{}\"\nstate = \"{folder}/tend-{n}\"\n\
+             arguments = [\"--app\", \"{folder}/files/desk.toml\", \"--fleet\", \"{folder}/elsewhere/fleet.json\", \
+             \"--sidecar\", \"{}\"]\nlog = \"{folder}/log-{n}\"\npause = \"50ms\"\npatience = \"3s\"\nprove = \"1s\"\n{}",
+            self.at[n],
+            self.control(n).display(),
+            self.short(n),
+            self.layout.tend,
+        );
+        for word in &self.layout.versions {
+            let (path, sha256) = version(word);
+            let name = path.file_name().unwrap().display();
+            text += &format!(
+                "\n[[program]]\nname = \"{name}\"\npath = \"{}\"\nsha256 = \"{sha256}\"\n",
+                path.display()
+            );
+        }
+        text
+    }
+
+    /// The process of an ingress that is kept.
+    pub fn process(&self, n: usize) -> Option<u32> {
+        let path = self.path(&format!("wrenfork-{}.next", self.at[n]));
+        channel::borrow(&path).ok().flatten().map(|(_, id)| id)
+    }
+
+    /// What an ingress runs, as it says itself.
+    pub fn runs(&self, n: usize) -> Option<String> {
+        Some(self.stand(n)?.runs?.split('@').next().unwrap_or_default().to_string())
+    }
+
     pub fn logs(&self) -> String {
         let mut all = String::new();
         for n in 0..self.count() {
@@ -467,6 +555,21 @@
 
 impl Drop for Group {
     fn drop(&mut self) {
+        if !self.layout.versions.is_empty() {
+            for n in 0..self.at.len() {
+                // Whoever keeps a process goes first, so that it starts no other one; then all that it ever started.
+                drop(self.ingresses[n].take());
+                let log = fs::read_to_string(self.path(&format!("log-{n}"))).unwrap_or_default();
+                let own = self.path("files/desk.toml").display().to_string();
+                let started = log.split(" as process ").skip(1);
+                for id in started.filter_map(|rest| rest.split_whitespace().next()?.parse::<u32>().ok()) {
+                    let line = fs::read_to_string(format!("/proc/{id}/cmdline")).unwrap_or_default();
+                    if line.contains(&own) {
+                        end(id, "KILL");
+                    }
+                }
+            }
+        }
         for witness in self.witnesses.iter_mut().flatten() {
             let _ = witness.kill();
             let _ = witness.wait();
--- a/crates/decision/src/gossip.rs
+++ b/crates/decision/src/gossip.rs
@@ -6,7 +6,7 @@
 const USE: u8 = 0;
 const NEWS: u8 = 1;
 /// The layout's number, told in each message: others are skipped.
-const VERSION: u8 = 0xA4;
+pub const VERSION: u8 = 0xA4;
 const HEAD: usize = 11;
 const SAMPLE_BYTES: usize = 4;
 const USE_BYTES: usize = 14;
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -49,5 +49,6 @@
 mod pools;
 mod state;
 
+pub use gossip::VERSION as PEERS;
 pub use interface::*;
 pub use state::{Gateway, InUse};
--- a/crates/handover/src/channel.rs
+++ b/crates/handover/src/channel.rs
@@ -75,6 +75,12 @@
         .and_then(|()| stream.write_all(&why.as_bytes()[..why.len().min(MOST_REASON)]));
 }
 
+/// Where the ingress that listens at an address offers itself: `$TMPDIR` is shared by its processes, whoever keeps them, and
+/// nobody else.
+pub fn path(listen: std::net::SocketAddr) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("wrenfork-{listen}.next"))
+}
+
 /// Whoever connects to a process that serves.
 #[derive(Debug)]
 pub enum Caller {
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -14,7 +14,7 @@
 use wrenfork_control::state::{Generation, State};
 use wrenfork_keeper::group::Inherited;
 use wrenfork_keeper::ledger::Ledger;
-use wrenfork_keeper::{client, clock, socket, Enforcer, Keeper};
+use wrenfork_keeper::{client, clock, socket, Enforcer, Keeper, CHANGED, RUNS};
 use wrenfork_rollout::tally::Tally;
 use wrenfork_wire::call::Vocabulary;
 
@@ -117,6 +117,8 @@
     fn tally(&self) -> Tally {
         let counted = self.order(Order::Tally).unwrap_or_default();
         Tally {
+            program: self.runs().unwrap_or_default(),
+            changed: told(CHANGED).is_some(),
             life: self.life,
             age_ms: self.began.elapsed().as_millis() as u64,
             hall: self.hall().unwrap_or_default().to_string(),
@@ -126,6 +128,10 @@
         }
     }
 
+    fn runs(&self) -> Option<String> {
+        told(RUNS)
+    }
+
     fn log(&self, record: &Record) {
         let Record { what, author, change, generation, why, .. } = record;
         let change = change.short();
@@ -137,6 +143,11 @@
     }
 }
 
+/// What whoever keeps this process tells it by the environment.
+fn told(variable: &str) -> Option<String> {
+    std::env::var(variable).ok().filter(|v| !v.is_empty())
+}
+
 /// Kilobytes of memory that this process holds; nought where the system does not tell.
 fn resident_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -188,7 +199,8 @@
     token: Token,
 ) -> Result<Coming, String> {
     let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
-    let (control, fixed, most) = (config.control.clone(), config.told.fixed.clone(), config.memory / MESSAGE_SHARE);
+    let (control, fixed, most) =
+        (config.control.clone(), config.told.fixed.clone(), config.memory / MESSAGE_SHARE);
     let (sender, coming) = channel();
     let (waker, mut control) = (Arc::new(waker), control);
     if let Some(membership) = &mut control.membership {
@@ -199,7 +211,8 @@
         loop {
             let first = || Memory::first(1, state.clone());
             let ledger = Ledger::open(control.state.as_deref(), first);
-            let kept = ledger.map(|ledger| Kept { control: control.clone(), fixed: fixed.clone(), ledger, most });
+            let kept =
+                ledger.map(|ledger| Kept { control: control.clone(), fixed: fixed.clone(), ledger, most });
             match kept.and_then(|kept| kept.resume(&state, waker.clone())) {
                 Ok(Some(come)) => {
                     // Nobody takes it any more where the ingress has ended meanwhile.
@@ -306,7 +319,9 @@
         let stands = if *kept == *state {
             None
         } else {
-            tracing::warn!("control: what was handed over is not what is kept, which is enforced from now on");
+            tracing::warn!(
+                "control: what was handed over is not what is kept, which is enforced from now on"
+            );
             Some((Box::new(compile(&self.fixed, &kept)?), Box::new(State::clone(&kept))))
         };
         Ok(self.listen(waker)?.map(|port| (port, stands)))
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -10,10 +10,10 @@
 use crate::control::{self, Coming, Order, Port};
 use crate::counter::{Counted, Counter};
 use crate::discovery::{Roster, Watch};
+use crate::gate::Gate;
 use crate::ledger::{End, Ledger, Now};
 use crate::management::{self, Ask, Management, MOST_CALLERS};
 use crate::peers::Peers;
-use crate::gate::Gate;
 use crate::reload::Reload;
 use crate::requests::{Attempt, Place, Requests, LONGEST_WAIT};
 use crate::room::Budget;
@@ -40,7 +40,7 @@
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Micros, Outcome, RequestId, RosterKind,
 };
-use wrenfork_handover::channel::{Caller, Heir};
+use wrenfork_handover::channel::{self, Caller, Heir};
 use wrenfork_handover::inherit;
 use wrenfork_keeper::group::Inherited as Right;
 use wrenfork_keeper::socket::{self, Socket};
@@ -192,7 +192,7 @@
         let keeps = !controlled || config.control.state.is_some();
         let passed = config.passed.is_some() && config.enforced.callers.is_none() && keeps;
         let next = match &config.listen {
-            Listen::Tcp(at) => passed.then(|| takeover::path(*at)),
+            Listen::Tcp(at) => passed.then(|| channel::path(*at)),
             Listen::Unix(..) => None,
         };
         let taken = next.as_deref().and_then(|path| takeover::ask::<V>(path, config.memory));
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -22,6 +22,7 @@
 mod room;
 mod routing;
 mod shutdown;
+mod speaks;
 mod status;
 mod stream;
 mod takeover;
@@ -30,11 +31,13 @@
 mod variant;
 
 use clap::Parser;
-pub use takeover::Form;
-pub use variant::{Shipped, Variant};
 use config::{Files, Told};
+pub use speaks::speaks;
 use std::path::PathBuf;
 use std::process::ExitCode;
+pub use takeover::Form;
+pub use variant::{Shipped, Variant};
+pub use wrenfork_versions::Speaks;
 
 /// The ingress. Without arguments it runs from the platform's file, which LB_CONFIG names.
 #[derive(Parser)]
@@ -64,6 +67,9 @@
     /// A file that says what became of the last reading of the configuration, for `wrenctl reload`
     #[arg(long, value_name = "FILE")]
     status: Option<PathBuf>,
+    /// Tells what this program reads and writes of each form that others read and write, and ends
+    #[arg(long)]
+    speaks: bool,
     /// The log's form
     #[arg(long, value_enum, default_value_t)]
     log: logging::Form,
@@ -89,10 +95,19 @@
     ingress::Ingress::start(variant, config, told, status, signals)?.run()
 }
 
-/// The program, as a version of it.
+/// The program, as a version of it; begins to run it.
 pub fn main(mut variant: impl Variant) -> ExitCode {
-    variant.begin();
     let arguments = Arguments::parse();
+    if arguments.speaks {
+        return match serde_json::to_string(&variant.speaks()) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(_) => ExitCode::FAILURE,
+        };
+    }
+    variant.begin();
     logging::start(arguments.log, arguments.log_level);
     match run(variant, arguments) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/ingress/src/takeover.rs
+++ b/crates/ingress/src/takeover.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use wrenfork_config::enforced::Told;
 use wrenfork_control::state::State;
 use wrenfork_decision::{Gateway, Micros};
@@ -56,7 +56,7 @@
     /// The newest form that it writes and reads.
     const LAYOUT: u32 = LAYOUT;
 
-    /// Writes what a form beyond [`LAYOUT`] has more.
+    /// Writes what a form beyond the shipped one has more.
     fn write(_layout: u32, _state: &mut Vec<u8>) {}
 
     /// Reads it.
@@ -93,11 +93,6 @@
     pub descriptors: Vec<OwnedFd>,
 }
 
-/// Where the ingress that listens at an address offers itself: `$TMPDIR` is shared by its processes and nobody else's.
-pub fn path(listen: SocketAddr) -> PathBuf {
-    std::env::temp_dir().join(format!("wrenfork-{listen}.next"))
-}
-
 /// Takes over from the process that serves at this moment; none if there is none, or it can't: then this one begins anew.
 pub fn ask<F: Form>(path: &Path, memory: usize) -> Option<Taken> {
     match try_ask::<F>(path, memory) {
@@ -193,7 +188,9 @@
 /// Where it can't be written down, or a process of that form could not go on with it.
 pub fn bytes<F: Form>(layout: u32, state: &Given, right: Option<Right>) -> Result<Vec<u8>, String> {
     if layout < 5 && right.is_some() {
-        return Err(format!("a process of layout {layout} knows no right to serve, and this is a member of a group"));
+        return Err(format!(
+            "a process of layout {layout} knows no right to serve, and this is a member of a group"
+        ));
     }
     let mut bytes = postcard::to_stdvec(state).map_err(|e| format!("the state can't be written: {e}"))?;
     if layout >= 5 {
--- a/crates/ingress/src/variant.rs
+++ b/crates/ingress/src/variant.rs
@@ -2,6 +2,7 @@
 //! is [`Shipped`]; what it does not do costs it nothing, since the loop is compiled for one version.
 
 use crate::takeover::Form;
+use wrenfork_versions::Speaks;
 
 /// A version of the program.
 pub trait Variant: Form + 'static {
@@ -10,6 +11,11 @@
     /// How often it sends each message to a peer.
     const COPIES: usize = 1;
 
+    /// What it reads and writes of each form.
+    fn speaks(&self) -> Speaks {
+        crate::speaks::speaks(Self::VERSION, Self::LAYOUT)
+    }
+
     /// Called before anything else is.
     fn begin(&mut self) {}
 
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -32,8 +32,10 @@
 use wrenfork_control::participant::{Participant, Step};
 use wrenfork_control::protocol::{self, Ask, Record, Say, Stand};
 use wrenfork_control::state::State;
+use wrenfork_rollout::record::{same_program, PROGRAM};
 use wrenfork_rollout::tally::Tally;
 use wrenfork_roster::acceptor::{Acceptor, Memory as Member, Step as Turn};
+use wrenfork_roster::decree::Decree;
 use wrenfork_roster::protocol as group_protocol;
 use wrenfork_roster::seats::Kind;
 
@@ -41,11 +43,18 @@
 const MOST_CONNECTIONS: usize = 8;
 /// How long a connection may say nothing, or read nothing.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// The most characters of a reason that is kept and told on.
+const MOST_WHY: usize = 300;
 /// How long an ask may still take before a handover is put off: the next process waits for a second at each step.
 const QUIET: Duration = Duration::from_millis(200);
 /// Threads here parse and hash; none goes deep.
 const STACK: usize = 512 << 10;
 
+/// The variable by which whoever keeps a process tells it which program it runs, `NAME@SHA256`.
+pub const RUNS: &str = "WRENFORK_RUNS";
+/// The one by which it says that the process was started on purpose in another program's place.
+pub const CHANGED: &str = "WRENFORK_CHANGED";
+
 /// What serves requests, as the control side sees it.
 pub trait Enforcer: Send + 'static {
     /// Whether a state could be enforced here.
@@ -68,6 +77,11 @@
     /// What was counted of requests, for whoever drives a rollout; its decree's number is filled in elsewhere.
     fn tally(&self) -> Tally;
 
+    /// The program that runs here, where whoever keeps this process says so.
+    fn runs(&self) -> Option<String> {
+        None
+    }
+
     /// A line for the log.
     fn log(&self, record: &Record);
 }
@@ -85,6 +99,10 @@
     faults: Faults,
     /// The most bytes of a message.
     most: usize,
+    /// The decree under which it is this member's turn to change its program.
+    turn: u64,
+    /// A program that does not come into service here, and why.
+    unfit: Option<(String, String)>,
 }
 
 /// The control side of an ingress.
@@ -131,6 +149,8 @@
             enforcer,
             faults,
             most,
+            turn: 0,
+            unfit: None,
         };
         let inner = Arc::new(Mutex::new(inner));
         let most_connections = MOST_CONNECTIONS + membership.as_ref().map_or(0, |m| m.links.len());
@@ -369,9 +389,37 @@
         let (Some(acceptor), Some(shared)) = (&mut self.group, &self.shared) else {
             return Say::No { why: "this ingress belongs to no group".into() };
         };
-        if ask == Ask::Tally {
-            let (number, began, tally) = (acceptor.memory().number(), self.began, self.enforcer.tally());
-            return Say::Tallied(Box::new(Tally { number, began, ..tally }));
+        let number = acceptor.memory().number();
+        let wants = self.participant.memory().state.0.get(PROGRAM);
+        match ask {
+            Ask::Tally => {
+                let (began, turn, tally) = (self.began, self.turn == number, self.enforcer.tally());
+                let unfit = self.unfit.as_ref().filter(|u| wants.is_some_and(|w| same_program(w, &u.0)));
+                let unfit = unfit.map(|u| u.1.clone()).unwrap_or_default();
+                return Say::Tallied(Box::new(Tally { number, began, turn, unfit, ..tally }));
+            }
+            Ask::Turn { number: under } if under == number => {
+                self.turn = number;
+                return Say::Noted;
+            }
+            Ask::Turn { .. } => return Say::No { why: "another decree stands here".into() },
+            Ask::Unfit { program, why } => {
+                // The first reason stands: it is said again for whoever has not heard it.
+                if self.unfit.as_ref().is_some_and(|u| same_program(&u.0, &program)) {
+                    return Say::Noted;
+                }
+                let why = why.chars().take(MOST_WHY).collect::<String>();
+                let (at, what) = (seconds(), "program".to_string());
+                self.enforcer.log(&Record {
+                    at,
+                    what,
+                    why: format!("{program}: {why}"),
+                    ..Record::default()
+                });
+                self.unfit = Some((program, why));
+                return Say::Noted;
+            }
+            _ => {}
         }
         let now = clock::now();
         let mut record = None;
@@ -399,6 +447,11 @@
                 return match say {
                     Say::Stands(mut stand) => {
                         stand.lease_ms = shared.lease_ms();
+                        stand.runs = self.enforcer.runs();
+                        stand.wants = wants.cloned();
+                        let ended = |d: &Decree| d.rollout.as_ref().is_none_or(|r| r.phase.ended());
+                        let free = acceptor.memory().decree.as_ref().is_none_or(|d| ended(d));
+                        stand.turn = free || self.turn == number;
                         Say::Stands(stand)
                     }
                     Say::No { why } => {
@@ -444,6 +497,9 @@
         acceptor.written(*memory);
         if let Some(own) = own {
             let state = own.state.clone();
+            let wants = state.0.get(PROGRAM);
+            // What is not wanted any more may be tried anew.
+            self.unfit = self.unfit.take().filter(|u| wants.is_some_and(|w| same_program(w, &u.0)));
             self.participant.written(own);
             if let Err(why) = self.enforcer.switch(&state) {
                 return Say::No { why }; // the ingress ends; it will start with what is written
--- a/crates/keeper/src/rollout.rs
+++ b/crates/keeper/src/rollout.rs
@@ -71,7 +71,16 @@
                     self.log(&record.phase.to_string(), "driven from here");
                     Watch::new(record.clone(), self.decree.number, now)
                 });
-                if let Some(next) = watch.look(clock::now(), &seen) {
+                let next = watch.look(clock::now(), &seen);
+                for name in watch.turns(&seen) {
+                    let turn = Ask::Turn { number: self.decree.number };
+                    let told = self.at.get(&name).map(|at| crate::client::ask::<_, Say>(at, &turn, PATIENCE));
+                    // One that was not reached is told at the next look.
+                    if let Some(Ok(Say::Noted)) = told {
+                        self.log(&record.phase.to_string(), &format!("{name}'s turn to change its program"));
+                    }
+                }
+                if let Some(next) = next {
                     self.decide(next, &mut round);
                 }
             }
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -124,6 +124,16 @@
     }
 }
 
+/// The key of the program that a member is to run, written `NAME@SHA256`. What serves goes on under it as before; whoever keeps
+/// its process changes that.
+pub const PROGRAM: &str = "program";
+
+/// Whether two programs are the same file.
+pub fn same_program(a: &str, b: &str) -> bool {
+    let file = |text: &str| text.rsplit_once('@').map(|(_, sha256)| sha256.to_string());
+    a == b || file(a).is_some_and(|file_of_a| Some(file_of_a) == file(b))
+}
+
 /// What differs at a member, by key: the old value and the new one.
 pub type Change = BTreeMap<String, (Option<String>, Option<String>)>;
 
@@ -171,6 +181,20 @@
         self.stages.iter().take(self.reached()).flatten().map(String::as_str).collect()
     }
 
+    /// Whether it changes what a member runs, besides what it enforces.
+    pub fn changes_programs(&self) -> bool {
+        self.changes.iter().any(|change| change.contains_key(PROGRAM))
+    }
+
+    /// Whether a member that runs this program runs what its side says; one of which nothing is said does.
+    pub fn fits(&self, name: &str, program: &str) -> bool {
+        let change = self.of.get(name).and_then(|n| self.changes.get(*n)?.get(PROGRAM));
+        let Some((old, new)) = change else { return true };
+        let has_new = self.stages.iter().take(self.reached()).flatten().any(|member| member == name);
+        let told = if has_new { new } else { old };
+        told.as_ref().is_none_or(|told| same_program(told, program))
+    }
+
     /// The same rollout, standing elsewhere.
     pub fn at(&self, phase: Phase, why: impl Into<String>) -> Record {
         Record { phase, why: why.into(), ..self.clone() }
@@ -322,6 +346,24 @@
         assert!(r.at(Phase::Stopped, "").new_at().is_empty());
     }
 
+    #[test]
+    fn each_side_runs_its_own_program() {
+        let (old, new) = (format!("r-1@{}", "1".repeat(64)), format!("r-2@{}", "2".repeat(64)));
+        let same = format!("other-name@{}", "2".repeat(64));
+        let mut r = record();
+        assert!(!r.changes_programs() && r.fits("n0", "") && r.fits("n0", &new));
+        r.changes[0].insert(PROGRAM.into(), (Some(old.clone()), Some(new.clone())));
+        assert!(r.changes_programs());
+        assert!(r.fits("n0", &new) && r.fits("n0", &same) && !r.fits("n0", &old) && !r.fits("n0", ""));
+        assert!(r.fits("n1", &old) && !r.fits("n1", &new) && r.fits("elsewhere", ""));
+        let back = r.at(Phase::Stopped, "");
+        assert!(back.fits("n0", &old) && !back.fits("n0", &new));
+        // Nobody said before what was to run.
+        r.changes[0].insert(PROGRAM.into(), (None, Some(new.clone())));
+        assert!(r.fits("n1", "") && r.fits("n1", &old) && !r.fits("n0", ""));
+        assert!(!same_program("", &new) && !same_program("a", "b") && same_program("a", "a"));
+    }
+
     #[test]
     fn what_is_not_whole_is_told() {
         let wrong = |change: &dyn Fn(&mut Record)| {
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -41,6 +41,14 @@
     pub number: u64,
     /// The decree that it found in its folder when its process started; 0 for none.
     pub began: u64,
+    /// The program that it runs, as whoever keeps its process says; empty where nobody does.
+    pub program: String,
+    /// Whether its process was started on purpose in the place of another program's.
+    pub changed: bool,
+    /// Whether it has been told, under this decree, that it is its turn to change its program.
+    pub turn: bool,
+    /// Why the program that it is to run does not come into service there, if it does not.
+    pub unfit: String,
     /// Its hall.
     pub hall: String,
     /// Microseconds of processor time.
--- a/crates/rollout/src/watch.rs
+++ b/crates/rollout/src/watch.rs
@@ -27,6 +27,8 @@
     pub blocks: u32,
     /// Members that are away.
     pub away: Vec<String>,
+    /// Members that are to run another program than they do.
+    pub changing: Vec<String>,
 }
 
 /// The watch over one phase of a rollout.
@@ -43,6 +45,10 @@
     worse: BTreeMap<Measure, Evidence>,
     good: Evidence,
     away: Vec<String>,
+    /// Members that are to run another program than they do.
+    changing: Vec<String>,
+    /// Of these, those whose turn it is, until they are seen to run it.
+    turns: BTreeSet<String>,
     /// Since when as many are there as must be.
     there: Option<Duration>,
 }
@@ -61,6 +67,8 @@
             worse: BTreeMap::new(),
             good: Evidence::default(),
             away: Vec::new(),
+            changing: Vec::new(),
+            turns: BTreeSet::new(),
             there: None,
         }
     }
@@ -74,18 +82,48 @@
     pub fn standing(&self) -> Standing {
         let measures = self.worse.iter().map(|(m, e)| (*m, e.mean(), e.stake())).collect();
         let (good, needed) = (self.good.stake(), 1.0 / self.error());
-        Standing { measures, good, needed, blocks: self.blocks, away: self.away.clone() }
+        let (away, changing) = (self.away.clone(), self.changing.clone());
+        Standing { measures, good, needed, blocks: self.blocks, away, changing }
+    }
+
+    /// Members whose turn it is to change what they run, and that have not been told: no more than may be away are at it at
+    /// once, in the order of the stages. To be asked behind each [`Watch::look`].
+    pub fn turns(&mut self, seen: &BTreeMap<String, Seen>) -> Vec<String> {
+        let here = |name: &str| seen.get(name).and_then(|t| t.as_ref().ok());
+        let runs = |name: &String| here(name).is_some_and(|t| self.record.fits(name, &t.program));
+        // One that does not answer in the middle of its change is still at it.
+        self.turns.retain(|name| !runs(name));
+        let told = |name: &&String| here(name).is_some_and(|t| t.turn);
+        self.turns.extend(self.changing.iter().filter(told).cloned());
+        let most = self.record.terms.away.max(1);
+        for name in self.record.stages.iter().flatten().filter(|name| self.changing.contains(name)) {
+            if self.turns.len() < most {
+                self.turns.insert(name.clone());
+            }
+        }
+        self.changing.iter().filter(|name| self.turns.contains(*name) && !told(name)).cloned().collect()
     }
 
     /// Takes a look at all members that serve; what is to be decided, if anything.
     pub fn look(&mut self, now: Duration, seen: &BTreeMap<String, Seen>) -> Option<Record> {
         let watched = now.saturating_sub(self.since);
+        let other = |name: &&String| match seen.get(*name) {
+            Some(Ok(t)) => t.number >= self.number && !self.record.fits(name, &t.program),
+            _ => false,
+        };
+        self.changing = self.record.stages.iter().flatten().filter(other).cloned().collect();
+        let patience = Duration::from_millis(self.record.terms.patience_ms);
         if let Phase::Back { left } = self.record.phase {
             let pause = Duration::from_millis(self.record.terms.pause_ms);
             let next = if left > 1 { Phase::Back { left: left - 1 } } else { Phase::Stopped };
-            return (watched >= pause).then(|| self.record.at(next, self.record.why.clone()));
+            // Whoever can't go back to what it ran must not keep the others from it.
+            let due = watched >= pause && self.changing.is_empty() || watched >= patience;
+            return due.then(|| self.record.at(next, self.record.why.clone()));
         }
         let Phase::On { stage } = self.record.phase else { return None };
+        if let Some((name, why)) = self.unfit(seen) {
+            return Some(self.record.stopped(true, format!("{name}: {why}")));
+        }
         if let Some(name) = self.crashed(seen) {
             return Some(self.record.stopped(true, format!("{name} has the new one and started again")));
         }
@@ -95,7 +133,7 @@
         let learnt = |t: &Seen| t.as_ref().is_ok_and(|t| t.number >= self.number);
         let here = |name: &&&String| seen.get(**name).is_some_and(learnt);
         self.away = all.iter().filter(|name| !here(name)).map(|name| name.to_string()).collect();
-        match self.away.len() <= self.record.terms.away {
+        match self.away.len() <= self.record.terms.away && self.changing.is_empty() {
             true => drop(self.there.get_or_insert(now)),
             false => self.there = None,
         }
@@ -111,9 +149,9 @@
             let next = if last { Phase::Done } else { Phase::On { stage: stage + 1 } };
             return Some(self.record.at(next, ""));
         }
-        let patience = Duration::from_millis(self.record.terms.patience_ms);
         (watched >= patience).then(|| {
             let why = match self.most_doubtful().filter(|_| self.stake() >= 1.0) {
+                _ if !self.changing.is_empty() => format!("not changed: {}", self.changing.join(", ")),
                 _ if self.there.is_none() => format!("away: {}", self.away.join(", ")),
                 Some(doubt) => format!("doubtful: {doubt}"),
                 None => format!("not known to be good: {} blocks to compare", self.blocks),
@@ -122,13 +160,23 @@
         })
     }
 
+    /// A member at which the new program does not come into service.
+    fn unfit(&self, seen: &BTreeMap<String, Seen>) -> Option<(String, String)> {
+        let new = self.record.new_at();
+        let here = seen.iter().filter_map(|(name, t)| Some((name, t.as_ref().ok()?)));
+        let mut unfit = here.filter(|(name, t)| new.contains(name.as_str()) && !t.unfit.is_empty());
+        unfit.next().map(|(name, t)| (name.clone(), t.unfit.clone()))
+    }
+
     /// A member that has the new one and has started since it has it: it has found this very decree in its folder, or another
     /// life of it was seen.
     fn crashed(&self, seen: &BTreeMap<String, Seen>) -> Option<String> {
         let new = self.record.new_at();
         let started = |name: &str, t: &Tally| {
             let other = self.last.get(name).is_some_and(|was| was.life != t.life);
-            other || t.began >= self.number
+            // The change of its program is a start as well, and the one that is wanted.
+            let meant = self.record.changes_programs() && t.changed && self.record.fits(name, &t.program);
+            other || t.began >= self.number && !meant
         };
         let here = seen.iter().filter_map(|(name, t)| Some((name, t.as_ref().ok()?)));
         let mut crashed = here.filter(|(name, t)| new.contains(name.as_str()) && started(name, t));
@@ -140,7 +188,7 @@
         let tallies: BTreeMap<String, Tally> = seen
             .iter()
             .filter_map(|(name, t)| Some((name.clone(), t.as_ref().ok()?.clone())))
-            .filter(|(_, t)| t.number == self.number)
+            .filter(|(name, t)| t.number == self.number && self.record.fits(name, &t.program))
             .collect();
         let new = self.record.new_at();
         // By hall: those of each side that were there before and are.
--- a/crates/roster/src/acceptor.rs
+++ b/crates/roster/src/acceptor.rs
@@ -96,7 +96,9 @@
     ) -> Step {
         let m = &self.memory;
         match ask {
-            Ask::Renew { .. } | Ask::Tally => no("this is not asked for here"),
+            Ask::Renew { .. } | Ask::Tally | Ask::Turn { .. } | Ask::Unfit { .. } => {
+                no("this is not asked for here")
+            }
             Ask::Learn => Step::Say(Say::Learnt { decree: m.decree.clone() }),
             Ask::Stand => Step::Say(Say::Stands(Box::new(self.stand(sure.err())))),
             Ask::Still { .. } => Step::Say(Say::Accepted { folder: m.folder }),
@@ -224,6 +226,9 @@
             rollout: decree.and_then(|d| d.rollout.as_ref()).map(|r| r.phase.clone()),
             lease_ms: None,
             unsure,
+            runs: None,
+            wants: None,
+            turn: false,
         }
     }
 }
--- a/crates/roster/src/decree.rs
+++ b/crates/roster/src/decree.rs
@@ -7,6 +7,9 @@
 use wrenfork_control::state::{Digest, Generation, State};
 use wrenfork_rollout::record::{self, Record};
 
+/// The number of the form of what a group decides. 2 has rollouts, which a member that knows 1 alone refuses.
+pub const VERSION: u32 = 2;
+
 /// What each member is to enforce: what is the same for all once, and what is a member's own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Policy {
--- a/crates/roster/src/protocol.rs
+++ b/crates/roster/src/protocol.rs
@@ -92,6 +92,18 @@
     Stand,
     /// What it has counted of its requests, for whoever drives a rollout.
     Tally,
+    /// From whoever drives a rollout: under this decree it is its turn to change the program that it runs.
+    Turn {
+        /// The decree's number.
+        number: u64,
+    },
+    /// From whoever keeps its process: a program does not come into service there.
+    Unfit {
+        /// Which.
+        program: String,
+        /// Why.
+        why: String,
+    },
 }
 
 /// What becomes of a renewal.
@@ -175,6 +187,8 @@
     Stands(Box<Stand>),
     /// What it has counted.
     Tallied(Box<Tally>),
+    /// It is noted.
+    Noted,
     /// It does not; nothing has changed.
     No {
         /// Why, in plain words.
@@ -217,6 +231,15 @@
     pub lease_ms: Option<u64>,
     /// Why it does not vote, where it does not.
     pub unsure: Option<String>,
+    /// The program that it runs, where whoever keeps its process says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runs: Option<String>,
+    /// The program that it is to run, where its decree says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wants: Option<String>,
+    /// Whether it may change to that now.
+    #[serde(default)]
+    pub turn: bool,
 }
 
 /// Whether a line is one of these asks: the key that tells them stands first, behind the version.
@@ -242,7 +265,9 @@
         let decree = Arc::new(Decree::default());
         let accept = Ask::Accept { ballot: Ballot::default(), decree: decree.clone() };
         let decided = Ask::Decided { number: 1, digest: Digest::default(), decree: Some(decree) };
-        for ask in [renew, promise, accept, decided, Ask::Learn, Ask::Stand, Ask::Tally] {
+        for ask in
+            [renew, promise, accept, decided, Ask::Learn, Ask::Stand, Ask::Tally, Ask::Turn { number: 4 }]
+        {
             let line = protocol::line(&ask);
             assert!(is(&line), "{line}");
             assert_eq!(read::<Ask>(&line), Ok(ask));
--- a/crates/tend/src/lib.rs
+++ b/crates/tend/src/lib.rs
@@ -136,8 +136,8 @@
     state: State,
     /// Crashes in a row.
     crashes: u32,
-    /// What was told to the ingress last as not to be had.
-    told: Option<Program>,
+    /// What was told to the ingress last as not to be had, and when: it may have been another process.
+    told: Option<(Program, Duration)>,
 }
 
 impl Tend {
@@ -211,6 +211,7 @@
             }
             (State::Both { old, new, .. }, Which::Next) => {
                 self.memory.failed = Some(new.clone());
+                self.told = Some((new.clone(), now));
                 self.state = State::Alone { program: old, since: now, answers: Some(now), ending: false };
                 let why = format!("it did not come into service: {how}");
                 vec![Action::Log(format!("{}: {why}", new.name)), Action::Tell(new, why)]
@@ -245,7 +246,8 @@
                 }
             },
             State::Both { old, new, since, ending } => {
-                let taken = matches!(&seen, Seen::Says { runs: Some(runs), .. } if *runs == new && new != old);
+                let taken =
+                    matches!(&seen, Seen::Says { runs: Some(runs), .. } if *runs == new && new != old);
                 if !late(since) || ending {
                     return Vec::new();
                 }
@@ -295,9 +297,12 @@
             None
         };
         if let Some(why) = why {
-            if self.told.replace(wanted.clone()) == Some(wanted.clone()) {
+            let lately =
+                |(told, at): &(Program, Duration)| *told == wanted && now < *at + self.terms.patience;
+            if self.told.as_ref().is_some_and(lately) {
                 return Vec::new();
             }
+            self.told = Some((wanted.clone(), now));
             return vec![Action::Log(format!("{}: {why}", wanted.name)), Action::Tell(wanted, why)];
         }
         if !may {
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -37,7 +37,8 @@
             let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
             !name.is_empty() && sha256.len() == 64 && sha256.bytes().all(hex)
         });
-        let (name, sha256) = told.ok_or_else(|| format!("a program is written NAME@SHA256, not \"{text}\""))?;
+        let (name, sha256) =
+            told.ok_or_else(|| format!("a program is written NAME@SHA256, not \"{text}\""))?;
         Ok(Program { name: name.into(), sha256: sha256.into() })
     }
 }
@@ -174,7 +175,8 @@
         assert_eq!(one, Program::read(&format!("other@{hex}")).unwrap());
         assert_eq!(one.to_string(), format!("r-1@{hex}"));
         assert_eq!(serde_json::from_str::<Program>(&serde_json::to_string(&one).unwrap()).unwrap(), one);
-        for bad in ["", "r-1", "@", &format!("@{hex}"), &format!("r@{}", &hex[1..]), &format!("r@{}G", &hex[1..])]
+        for bad in
+            ["", "r-1", "@", &format!("@{hex}"), &format!("r@{}", &hex[1..]), &format!("r@{}G", &hex[1..])]
         {
             assert!(Program::read(bad).unwrap_err().contains("NAME@SHA256"), "{bad}");
         }
