Rollouts have a history; what a version may spoil costs the shipped one nothing

Found on reading the change: the loop counted open requests at each turn for the hook of odd versions, which goes through all of them. The hook has a constant now that the shipped version is compiled without. The control side behind a handover takes what is fixed from the process before, as the loop does, and no longer from files that may have changed since.

`wrenctl rollout history` tells each step once, from the members' records.

--- a/crates/ctl/src/change/history.rs
+++ b/crates/ctl/src/change/history.rs
@@ -5,10 +5,12 @@
 use crate::style;
 use clap::Args;
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, UNIX_EPOCH};
 use wrenfork_control::protocol::{Ask, Record, Say};
+use wrenfork_keeper::ROLLOUT;
 
 #[derive(Args)]
 pub struct Options {
@@ -24,10 +26,15 @@
 }
 
 pub fn main(options: &Options) -> ExitCode {
-    run(options).unwrap_or_else(|code| code)
+    run(options, false).unwrap_or_else(|code| code)
 }
 
-fn run(options: &Options) -> Result<ExitCode, ExitCode> {
+/// The steps of rollouts alone, each once, by whoever told it first.
+pub fn rollouts(options: &Options) -> ExitCode {
+    run(options, true).unwrap_or_else(|code| code)
+}
+
+fn run(options: &Options, rollouts: bool) -> Result<ExitCode, ExitCode> {
     let files = folder::read(&options.folder)?;
     let ingresses = &files.ingresses;
     let asks = ingresses.iter().map(|i| (i.control.clone(), Ask::History { most: options.most }));
@@ -47,6 +54,11 @@
         }
     }
     rows.sort_by_key(|(_, r)| r.at);
+    if rollouts {
+        let mut seen = BTreeSet::new();
+        rows.retain(|(_, r)| r.what.starts_with(ROLLOUT));
+        rows.retain(|(_, r)| seen.insert((r.change.clone(), r.what.clone(), r.why.clone())));
+    }
     match options.format {
         Format::Json => {
             let rows: Vec<_> = rows.iter().map(|(name, r)| json!({"ingress": name, "record": r})).collect();
--- a/crates/ctl/src/rollout/mod.rs
+++ b/crates/ctl/src/rollout/mod.rs
@@ -7,7 +7,7 @@
 mod show;
 mod terms;
 
-use crate::change::{failed, span};
+use crate::change::{failed, history, span};
 use clap::{Args, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -29,6 +29,8 @@
     Resume(Change),
     /// Takes a rollout back, step by step
     Stop(Stop),
+    /// Which steps rollouts took, when, by whom and why
+    History(history::Options),
 }
 
 #[derive(Args)]
@@ -76,6 +78,7 @@
     let done = match verb {
         Verb::Plan(begin) => make::begin(begin, false),
         Verb::Start(begin) => make::begin(begin, true),
+        Verb::History(options) => return history::rollouts(options),
         Verb::Status(options) => show::status(options),
         Verb::Watch(options) => show::watch(options),
         Verb::Pause(change) => make::step(change, "held", &make::held),
--- a/crates/ctl/tests/group/programs.rs
+++ b/crates/ctl/tests/group/programs.rs
@@ -5,7 +5,7 @@
 use super::site::*;
 use std::fs;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenfork_fleet::small::*;
 use wrenfork_rollout::record::Phase;
 
@@ -157,3 +157,62 @@
     let wrong: Vec<_> = answers.iter().filter(|(_, got)| matches!(got, Got::Other(_))).take(5).collect();
     assert!(wrong.is_empty() && answers.len() > 1_000, "{wrong:?} of {}\n{}", answers.len(), group.logs());
 }
+
+/// Each odd version, some times over: where and when it was stopped, and what was lost until then.
+#[test]
+#[ignore = "some minutes, a measurement"]
+fn measure_odd_programs() {
+    let words = [
+        "equal:2",
+        "newer",
+        "fails:5",
+        "fails:30",
+        "fails-quote:30",
+        "slow",
+        "dies:5000",
+        "never",
+        "hup",
+        "leaks",
+        "chatty",
+    ];
+    println!("version: how it ended, after seconds, most that ran it, answers, neither served nor turned away, turned away");
+    for word in words {
+        for _ in 0..std::env::var("ODD_RUNS").ok().and_then(|n| n.parse().ok()).unwrap_or(2) {
+            let mut group = Group::started(kept(&["equal", word]));
+            group.all_run("equal");
+            let load = group.load();
+            let begun = Instant::now();
+            says(&group.roll_program("ann", 1, "[\"1\", \"50%\", \"all\"]", ""), 0, &["made: stage 1"]);
+            let (name, mut most, mut told) = (word.replace(':', "-"), 0, false);
+            let end = loop {
+                let stands = (0..group.count()).filter_map(|n| group.stand(n)).max_by_key(|s| s.number);
+                let phase = stands.and_then(|s| s.rollout);
+                most = most.max(group.running(&name));
+                let new = (0..4).find(|n| group.runs(*n).as_deref() == Some(name.as_str()));
+                if let (Some(n), "hup", false) = (new, word, told) {
+                    end(group.process(n).unwrap(), "HUP");
+                    told = true;
+                }
+                match phase {
+                    Some(p) if p.ended() || matches!(p, Phase::Held { .. }) => break p,
+                    _ if begun.elapsed() > Duration::from_secs(150) => break phase.unwrap(),
+                    _ => thread::sleep(Duration::from_millis(50)),
+                }
+            };
+            let took = begun.elapsed().as_secs_f64();
+            let status = told_of(&group.run(&["rollout", "status", "ann"]));
+            if end.ended() {
+                group.all_run(if end == Phase::Done { &name } else { "equal" });
+            }
+            let answers = load.stop();
+            let of = |wanted: &dyn Fn(&Got) -> bool| answers.iter().filter(|(_, got)| wanted(got)).count();
+            let (other, busy) = (of(&|g| matches!(g, Got::Other(_))), of(&|g| *g == Got::Busy));
+            println!("{word}: {status}, {took:.1} s, {most}, {}, {other}, {busy}", answers.len());
+        }
+    }
+}
+
+/// What a status says of a rollout, without who has what.
+fn told_of(status: &std::process::Output) -> String {
+    told(status).lines().next().unwrap_or_default().split(" by ann: ").last().unwrap_or_default().to_string()
+}
--- a/crates/ctl/tests/group/rollout.rs
+++ b/crates/ctl/tests/group/rollout.rs
@@ -185,6 +185,13 @@
     assert_eq!(group.agreed(), "p0");
     drop(load.stop());
     says(&group.run(&["rollout", "status", "ann"]), 0, &["stopped", "enough"]);
+    let history = group.run(&["rollout", "history", "ann"]);
+    says(
+        &history,
+        0,
+        &["rollout: stage 1", "lunch", "rollout: stage 2", "rollout: stopped", "enough", "ann"],
+    );
+    assert_eq!(told(&history).matches("lunch").count(), 1, "each step once: {}", told(&history));
 }
 
 /// A disk that takes nothing while a stage begins: the member counts as away, and has its side once it has room.
--- a/crates/ingress/examples/odd.rs
+++ b/crates/ingress/examples/odd.rs
@@ -123,6 +123,7 @@
         impl Variant for $name {
             const VERSION: &'static str = "odd";
             const COPIES: usize = $copies;
+            const SPOILS: bool = true;
 
             fn speaks(&self) -> Speaks {
                 let mut speaks = wrenfork::speaks(Self::VERSION, Self::LAYOUT);
@@ -140,7 +141,7 @@
                 self.0.begun();
             }
 
-            fn turn(&mut self, _open: usize) {
+            fn turn(&mut self) {
                 self.0.turned();
             }
 
--- a/crates/ingress/src/control.rs
+++ b/crates/ingress/src/control.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use wrenfork_config::enforced::Told;
 use wrenfork_control::figures::Figures;
 use wrenfork_control::participant::Memory;
 use wrenfork_control::protocol::{Ask, Record, Say};
@@ -185,24 +186,25 @@
     config.control.socket.is_some() || config.control.state.is_some()
 }
 
-/// Opens what is kept and serves the control socket as soon as the process before has let go of both; it enforces `state`, as
-/// the loop does by now.
+/// Opens what is kept and serves the control socket as soon as the process before has let go of both; the loop enforces what it was
+/// `told` by then.
 ///
 /// # Errors
 ///
 /// Where no thread can be had.
 pub fn follow(
     config: &Config,
-    state: State,
+    told: &Told,
     right: Option<Inherited>,
     registry: &Registry,
     token: Token,
 ) -> Result<Coming, String> {
     let waker = Waker::new(registry, token).map_err(|e| format!("control: no waker: {e}"))?;
-    let (control, fixed, most) =
-        (config.control.clone(), config.told.fixed.clone(), config.memory / MESSAGE_SHARE);
+    // What is fixed from the start on is what the loop goes on with, whatever the files say by now.
+    let (fixed, state) = (told.fixed.clone(), State(told.state.clone()));
+    let (mut control, most) = (config.control.clone(), config.memory / MESSAGE_SHARE);
     let (sender, coming) = channel();
-    let (waker, mut control) = (Arc::new(waker), control);
+    let waker = Arc::new(waker);
     if let Some(membership) = &mut control.membership {
         membership.inherited = right;
     }
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -36,7 +36,6 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use wrenfork_control::figures::{Figures, PlanUse};
-use wrenfork_control::state::State;
 use wrenfork_decision::{
     Action, BackendId, Discovery, Event, Gateway, Micros, Outcome, RequestId, RosterKind,
 };
@@ -206,8 +205,7 @@
         let mut coming = None;
         let mut gate = control.as_ref().map(Port::gate).unwrap_or_default();
         if let Some(Taken { state, right, .. }) = taken.as_ref().filter(|_| controlled) {
-            let stands = State(state.told.state.clone());
-            coming = Some(control::follow(&config, stands, *right, registry, CONTROL)?);
+            coming = Some(control::follow(&config, &state.told, *right, registry, CONTROL)?);
             // A member whose right did not come lets nothing in before it has one.
             let none = Right { number: 0, until: None, gate: 0 };
             gate = Gate::of(membership.map(|m| right.unwrap_or(none).gate(m)));
@@ -318,7 +316,7 @@
             ready.extend(
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
-            self.variant.turn(self.requests.owing_count());
+            self.variant.turn();
             self.turn(&mut ready);
             self.take_orders();
             if self.hand_over() {
@@ -988,6 +986,9 @@
 
     /// Whether this version of the program makes a failure of what was served; the shipped one never.
     fn spoils(&mut self, id: RequestId) -> bool {
+        if !V::SPOILS {
+            return false;
+        }
         let open = self.requests.owing_count();
         let (Some(request), words) = (self.requests.get(id), &self.clients.words) else { return false };
         let request = &request.call.request;
--- a/crates/ingress/src/variant.rs
+++ b/crates/ingress/src/variant.rs
@@ -19,8 +19,11 @@
     /// Called before anything else is.
     fn begin(&mut self) {}
 
-    /// Called at each turn of the loop, with the number of requests that are open.
-    fn turn(&mut self, _open: usize) {}
+    /// Whether it may make failures of what was served; where it may not, nothing is looked at for it.
+    const SPOILS: bool = false;
+
+    /// Called at each turn of the loop.
+    fn turn(&mut self) {}
 
     /// Whether it makes a failure of a request that was served, by its class and plan and the number that are open.
     fn spoils(&mut self, _class: &str, _plan: &str, _open: usize) -> bool {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -55,6 +55,9 @@
 /// The one by which it says that the process was started on purpose in another program's place.
 pub const CHANGED: &str = "WRENFORK_CHANGED";
 
+/// What the record of a rollout's step begins with.
+pub const ROLLOUT: &str = "rollout";
+
 /// What serves requests, as the control side sees it.
 pub trait Enforcer: Send + 'static {
     /// Whether a state could be enforced here.
@@ -480,13 +483,19 @@
         if let Some(decree) = memory.decree.as_ref().filter(|_| switch) {
             record = Some(("made", decree.clone()));
         }
-        let record = record.map(|(what, decree)| Record {
-            at: seconds(),
-            what: what.into(),
-            author: decree.author.clone(),
-            change: decree.change.clone(),
-            generation: decree.generation,
-            why: String::new(),
+        let had = acceptor.memory().decree.as_ref().and_then(|d| d.rollout.clone());
+        let record = record.map(|(what, decree)| {
+            let step =
+                decree.rollout.as_deref().filter(|step| what == "made" && had.as_deref() != Some(*step));
+            let what = step.map_or(what.to_string(), |step| format!("{ROLLOUT}: {}", step.phase));
+            Record {
+                at: seconds(),
+                what,
+                author: decree.author.clone(),
+                change: decree.change.clone(),
+                generation: decree.generation,
+                why: step.map_or_else(String::new, |step| step.why.clone()),
+            }
         });
         self.faults.pass(point, "unwritten");
         if let Err(why) = self.ledger.keep_member(&memory, own.as_ref(), record.as_ref()) {
