A keeper asks in one place which program serves

Found on reading the change: a keeper that begins, and one whose process has ended, looked up what serves in the same lines.

--- a/crates/ctl/src/tend/mod.rs
+++ b/crates/ctl/src/tend/mod.rs
@@ -127,8 +127,7 @@
         let begun = Instant::now();
         let (listener, serving) = loop {
             if let Some((listener, process)) = running(&told) {
-                let program = asked(&told).and_then(|s| Program::read(&s.runs?).ok());
-                let program = program.unwrap_or_else(|| told.programs.first().clone());
+                let program = serves(&told).unwrap_or_else(|| told.programs.first().clone());
                 log(&format!("{} serves already, as process {}", program.name, process.id));
                 tend.step(clock::now(), Event::Found(program), &told.programs);
                 break (listener, Some(process));
@@ -159,8 +158,7 @@
             match running(&self.told).filter(|_| !changing) {
                 // An earlier keeper had started another one, that has taken over since.
                 Some((_, process)) => {
-                    let program = asked(&self.told).and_then(|s| Program::read(&s.runs?).ok());
-                    let program = program.unwrap_or_else(|| self.tend.program().clone());
+                    let program = serves(&self.told).unwrap_or_else(|| self.tend.program().clone());
                     self.serving = Some(process);
                     self.step(Event::Found(program));
                 }
@@ -272,6 +270,11 @@
     Some((TcpListener::from(listener), Process::found(id).ok()?))
 }
 
+/// The program that serves, where it says so.
+fn serves(told: &Told) -> Option<Program> {
+    Program::read(&asked(told)?.runs?).ok()
+}
+
 /// How the ingress stands, as it says itself.
 fn asked(told: &Told) -> Option<Stand> {
     match client::ask(&told.control, &Ask::Stand, PATIENCE) {
