--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use wrenfork_fleet::small::operators::figure;
 use wrenfork_fleet::small::*;
 
@@ -137,7 +138,10 @@
     let many: Vec<u8> = (0..400).flat_map(|n| call("refer", &format!("r{n}"), 8000)).collect();
     client.send(&many);
     until("the places are taken", || backend.count() >= 4);
+    let closed = Instant::now();
     leave(client);
+    until("all that it asked for is withdrawn", || figure(at, "ingress.open_requests") == 0);
+    println!("withdrawn {:.2?} after the close, of 0.1 s", closed.elapsed());
     let sent = figure(at, "ingress.relayed");
     open.store(true, Ordering::SeqCst);
     // What is sent in the places that come free would come before this.
@@ -145,6 +149,28 @@
     assert_eq!(figure(at, "ingress.relayed"), sent + 1, "{:?}", ids(&backend));
 }
 
+// ---- Backends that say more than they were asked ----
+
+/// Guards against half a line that comes while a connection rests, or after it has rested: read as the head of the next answer,
+/// it would spoil that one.
+#[test]
+fn half_a_line_behind_an_answer_spoils_nothing() {
+    for pause in [Duration::from_micros(300), Duration::from_millis(5)] {
+        let backend = Backend::start(move |args| {
+            let whole = served(args);
+            Act::Parts(whole.len(), pause, [&whole[..], b"*3\r\n$9\r\nval"].concat())
+        });
+        let ingress = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]).start();
+        let mut client = ingress.client();
+        for n in 0..40 {
+            assert_eq!(client.ask(&call("refer", &format!("h{n}"), 2000)), format!("value of h{n}"));
+            // Seen by the backend's end of the connection: it was closed, and not used again.
+            until("the connection is given up", || backend.seen.ended.load(Ordering::SeqCst) > n);
+        }
+        assert_eq!(backend.count(), 40);
+    }
+}
+
 // ---- Drains ----
 
 /// Guards against a connection that comes up after its backend was told to drain, and against waiting for it.
--- a/crates/ingress/tests/upgrade.rs
+++ b/crates/ingress/tests/upgrade.rs
@@ -253,6 +253,45 @@
     assert_eq!(second.figure("ingress.open_requests"), 0);
 }
 
+/// Guards against a key's window that ends with the process that knew it: a repeat whose connection is still coming up passes on,
+/// and is not written by the next process a second later, when its key is forgotten. What may begin anew is begun anew.
+#[test]
+fn what_is_not_written_at_a_handover_begins_anew_or_not_at_all() {
+    for (class, answer) in [("save", "-ERR failed"), ("refer", "value of u1")] {
+        let (hang, jammed) = (Arc::new(AtomicBool::new(false)), Jammed::start());
+        let told = hang.clone();
+        let taken = Backend::start(move |_| {
+            until("the first attempt may break", || told.load(Ordering::SeqCst));
+            Act::Hang
+        });
+        let mut platform = Platform::new(&[&taken]);
+        let settings = &mut platform.setup.settings;
+        *settings = settings.replace(r#""connect_timeout_us":250000"#, r#""connect_timeout_us":3000000"#);
+        *settings = settings.replace(r#""window_us":3000000"#, r#""window_us":900000"#);
+        *settings = settings.replace(r#""most_tries":3"#, r#""most_tries":2"#);
+        let discovery = Discovery::start();
+        platform.setup.discovery = Some(discovery.at);
+        if class == "refer" {
+            platform.setup.known = vec![jammed.entry("s-1", "up")];
+        }
+        let mut first = platform.start();
+        let mut client = Client::connect(platform.at);
+        client.send(&call(class, "u1", 2800));
+        if class == "save" {
+            until("the first attempt is out", || taken.count() == 1);
+            discovery.tell(jammed.entry("s-1", "up"));
+            discovery.tell(taken.entry("s-0", "draining"));
+            hang.store(true, Ordering::SeqCst);
+        }
+        until("an attempt is on its way", || jammed.tried());
+        let _second = platform.start();
+        first.ended();
+        let late = Backend::on(jammed.clear(), serve);
+        assert_eq!(client.answer(), answer, "{class}");
+        assert_eq!(late.count(), usize::from(class == "refer"), "{class}");
+    }
+}
+
 /// Guards against a long answer that ends with the process that had begun to pass it on.
 #[test]
 fn a_long_answer_goes_on_in_the_next_process() {
