The quota's token buckets and a half-closed connection are called by these terms

Change: 'store' of a quota or a ceiling is a token bucket (comments of the module; RETRY_BURST), 'shut' of a client's connection is half_closed. Names and comments alone; settings' keys and wire words stay.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -8,7 +8,7 @@
 use std::{cmp::Reverse, collections::VecDeque};
 
 const WAKE_TICKS: u64 = 5; // ticks between wake-ups, which look at deadlines and gossip; more saves CPU
-const AGING: Micros = 10_000_000; // unseen so long, a customer is green; forgotten once its stores are full
+const AGING: Micros = 10_000_000; // unseen so long, a customer is green; forgotten once its buckets are full
 const AMBER: [f64; 4] = [1.0, 0.9, 0.7, 0.5]; // share that passes by rung (paper, table I); green from rung 2
 const LAST_RUNG: usize = 4; // preferred only
 const RUNG_UP: Micros = 1_500_000; // least stay on a rung, so that its effect is seen
@@ -38,7 +38,7 @@
 const HEDGE: f64 = 0.6; // share of an aim after which an attempt is repeated elsewhere
 const COPY_COST: f64 = 3.0; // what that draws, where a retry draws 1: the first one still runs
 const RETRY_SHARE: f64 = 0.1; // further attempts per first attempt: retries cannot feed an overload
-const RETRY_STORE: f64 = 10.0; // and the store of them
+const RETRY_BURST: f64 = 10.0; // and the bucket of them
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 const SUBSET: usize = 12; // backends that a sliver goes to: half may fall; connections stay few and in use
 const COVER: usize = 8; // times that the gateways' shares of the backends overlap: next to none is left out
@@ -88,7 +88,7 @@
         own / (own + self.others).max(1e-9)
     }
 
-    /// Fills the stores up to now.
+    /// Fills the token buckets up to now.
     fn fill(&mut self, now: Micros, plan: &Plan) {
         let span = (now - self.filled) as f64 / SECOND;
         let keep = decay(self.filled, now, RATE_TAU);
@@ -106,7 +106,7 @@
         self.filled = now;
     }
 
-    /// Carries the stores over to other figures: a raised quota refills none, a lowered one leaves no debt.
+    /// Carries the buckets over to other figures: a raised quota refills none, a lowered one leaves no debt.
     /// One that had no limit begins full, but for a ceiling, which counts from nothing as at a start.
     fn carry(&mut self, was: &Plan, is: &Plan) {
         let unlimited = was.rate == 0.0 && is.rate > 0.0;
@@ -137,7 +137,7 @@
             now,
             born: now,
             usual,
-            retries: RETRY_STORE,
+            retries: RETRY_BURST,
             pools: (0..=settings.pools.min(MOST_POOLS as u8)).map(|_| Pool::new(PLACES)).collect(),
             pace,
             period: if few { ((period * SECOND) as Micros).max(50_000) } else { 0 },
@@ -179,7 +179,7 @@
         }
     }
 
-    // ---- 1. A request arrives: its colour, its store, the ladder ----
+    // ---- 1. A request arrives: its colour, its token buckets, the ladder ----
 
     fn on_request(&mut self, req: Request, act: &mut Vec<Action>) {
         let (class, plan) = (usize::from(req.class), usize::from(req.plan));
@@ -248,7 +248,7 @@
         }
     }
 
-    /// Lets a request in if the stores have room; without it, one that is held stays so till the `last` word.
+    /// Lets a request in if the buckets have room; without it, one that is held stays so till the `last` word.
     fn admit(&mut self, id: RequestId, last: bool, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
         let (req, aim, held) = (o.req, o.class.aim, std::mem::take(&mut o.held));
@@ -327,7 +327,7 @@
     }
 
     /// Fixes, for good, a customer's homes and the part of its ceiling here: not given out twice. A home
-    /// begins with a `level` (full, if nobody told another: most use little of their stores, and where all
+    /// begins with a `level` (full, if nobody told another: most use little of their buckets, and where all
     /// homes are new nobody knows better) and asks the others: an older one's word comes in its place.
     fn settle_in(&mut self, id: CustomerId, first: u16, width: u16, level: f64) {
         let (few, me, all, life) = (self.period > 0, self.s.me.0, self.s.gateways, self.now - self.born);
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Fills a customer's stores up to now.
+    /// Fills a customer's buckets up to now.
     fn fill(&mut self, id: CustomerId) -> Option<&mut Customer> {
         let c = self.customers.get_mut(&id)?;
         c.fill(self.now, &self.s.plans[c.plan]);
@@ -401,7 +401,7 @@
         (quota, ceiling)
     }
 
-    /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
+    /// Draws a request's units from the buckets, or gives them back (`sign` -1) when it was never sent.
     fn charge(&mut self, req: &Request, sign: f64) {
         let Some(c) = self.customers.get_mut(&req.customer) else { return };
         let plan = &self.s.plans[c.plan];
@@ -619,7 +619,7 @@
         let guest = self.requests.get(&id).is_some_and(|o| self.is_guest(&o.req, at));
         let Some(o) = self.requests.get_mut(&id) else { return false };
         if o.attempts.is_empty() {
-            self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
+            self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
         }
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
         let (patience, begin_by) = (o.patience(), o.begin_by());
@@ -1028,7 +1028,7 @@
             }
             // Their counts go on: once forgotten, all that one let through would pass for new.
             c.heard.retain(|_, h| few || now - h.at <= 2 * AGING);
-            // Kept until both stores are full for sure: a customer met anew starts with full ones.
+            // Kept until both buckets are full for sure: a customer met anew starts with full ones.
             let full = (p.burst / p.rate).max(p.ceiling_burst / p.ceiling_rate).clamp(0.0, 1e6); // NaN: 0 / 0
             c.open > 0 || !c.held.is_empty() || now - c.seen <= 2 * AGING.max((full * SECOND) as Micros)
         });
@@ -1128,9 +1128,9 @@
             (c.level, h.promised) = (told, 0.0); // its word is better than what is known here
         }
         if (known.is_none() && u.level < 255) || mirrors {
-            delta = 0.0; // that is in its view of the store
+            delta = 0.0; // that is in its view of the bucket
         } else if !heard && !younger && delta.abs() > burst / 4.0 {
-            // Its count is older than this start: its view of the store is what is left to go by.
+            // Its count is older than this start: its view of the bucket is what is left to go by.
             delta = 0.0;
             if u.level < 255 {
                 c.level = c.level.min((told - c.used).max(0.0));
@@ -1160,7 +1160,7 @@
         u.ask.then_some(News { customer, yours, level, rate, open, gift })
     }
 
-    /// A home's word on a customer: the store is what it says, less what it cannot have heard.
+    /// A home's word on a customer: the bucket is what it says, less what it cannot have heard.
     fn on_news(&mut self, from: u16, older: bool, n: News, act: &mut Vec<Action>) {
         let (now, me, few) = (self.now, self.s.me.0, self.period > 0);
         let Some(lead) = self.customers.get(&n.customer).map(|c| self.lead(c)) else { return };
@@ -1177,7 +1177,7 @@
             c.promise = if from == lead && n.level >= c.asks { c.asks } else { 0.0 };
         }
         c.answered.push(from);
-        // A gift is for the request that waits: late ones lapse, or a full store would hold more than full.
+        // A gift is for the request that waits: late ones lapse, or a full bucket would hold more than full.
         if now - c.asked_at < GIFT_LIFE {
             c.granted += n.gift;
         }
@@ -1189,7 +1189,7 @@
 
     // ---- 7. New settings ----
 
-    /// Requests that are open end under their class as it was; stores are filled by the old figures till now.
+    /// Requests that are open end under their class as it was; buckets are filled by the old figures till now.
     fn on_settings(&mut self, mut new: Settings) {
         // Places beyond the end may be in use still; what they were sold for must not count on the ladder.
         let price = new.plans.last().map_or(1.0, |p| p.price);
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -72,17 +72,17 @@
 /// A plan, and the quotas that each of its customers has over all gateways together.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Plan {
-    /// Units a second that fill the store; 0 for no quota on the rate.
+    /// Units a second that fill the quota's token bucket; 0 for no quota on the rate.
     pub rate: f64,
-    /// Units that the store holds.
+    /// Units that the bucket holds.
     pub burst: f64,
     /// Attempts out at once; 0 for no such quota.
     pub open_cap: u32,
-    /// Units a second that fill the hard ceiling's store; 0 for no ceiling.
+    /// Units a second that fill the hard ceiling's token bucket; 0 for no ceiling.
     pub ceiling_rate: f64,
-    /// Units that the ceiling's store holds.
+    /// Units that the ceiling's bucket holds.
     pub ceiling_burst: f64,
-    /// Units by which the ceiling's store may go below nothing.
+    /// Units by which the ceiling's bucket may go below nothing.
     pub ceiling_slack: f64,
     /// Factor on the worth.
     pub price: f64,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -90,10 +90,10 @@
 #[derive(Default, Serialize, Deserialize)]
 pub struct Customer {
     pub plan: usize,
-    /// The quota's store, as far as known here, and when it was last filled.
+    /// The quota's token bucket, as far as known here, and when it was last filled.
     pub level: f64,
     pub filled: Micros,
-    /// This gateway's own share of the ceiling's store.
+    /// This gateway's own share of the ceiling's token bucket.
     pub ceiling: f64,
     /// Units sent on by this gateway since its start.
     pub used: f64,
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -106,7 +106,7 @@
     linger_until: Option<Micros>,
     /// Taken in beyond the budget of descriptors: told so with its first request, and closed.
     surplus: bool,
-    shut: bool,
+    half_closed: bool,
     /// It is not read any more: a request that crosses the half-close is one that was never read, and its client sends it again.
     #[serde(skip)]
     unread: bool,
@@ -157,7 +157,7 @@
             closing,
             linger_until,
             surplus,
-            shut,
+            half_closed,
             unread,
             stalled,
             dirty,
@@ -182,7 +182,7 @@
             closing,
             linger_until,
             surplus,
-            shut,
+            half_closed,
             unread,
             stalled,
             dirty,
@@ -489,7 +489,7 @@
             closing: false,
             linger_until: surplus.then_some(now + LINGER),
             surplus,
-            shut: false,
+            half_closed: false,
             unread: false,
             stalled: false,
             dirty: false,
@@ -567,7 +567,7 @@
                 Ok(0) => return self.remove(key),
                 Ok(n) if c.closing => {
                     // Read, or the kernel would reset the connection under the answers; but not looked at.
-                    if let (true, Some(until)) = (c.shut, &mut c.linger_until) {
+                    if let (true, Some(until)) = (c.half_closed, &mut c.linger_until) {
                         *until = (now + LINGER).min(c.since + LONGEST_LINGER).max(*until);
                     }
                     if n < CHUNK && !closed {
@@ -921,7 +921,7 @@
     /// Closes a connection that is done with.
     fn finish(&mut self, key: usize, now: Micros) {
         let c = &mut self.conns[key];
-        if c.closing && c.slots.is_empty() && c.out.is_empty() && !c.shut {
+        if c.closing && c.slots.is_empty() && c.out.is_empty() && !c.half_closed {
             self.half_close(key, now);
         } else if self.draining && c.idle() {
             self.half_close_if_silent(key, now);
@@ -933,7 +933,7 @@
     fn half_close(&mut self, key: usize, now: Micros) {
         let c = &mut self.conns[key];
         let _ = c.stream.shutdown(Shutdown::Write);
-        c.shut = true;
+        c.half_closed = true;
         self.lingering += usize::from(c.linger_until.is_none());
         c.linger_until = Some(now + LINGER);
     }
