The exit waits for answers to what was read in the last moment

Read in the code: at the last moment (deadlines of 12 s there, so every restart comes to it) all that is open is failed and flushed; the flush closes connections between requests and reads them once more for that; a request that comes just then is let in or refused behind the flush, and the process exited in the same turn with that answer unwritten. What waits behind a full line of 256 answers had the same end every time. The lines: turn() in ingress.rs (flush before the last take_incoming), Ingress::may_exit. That it is this path is concluded from the code, not logged.

Change: from its last moment on an ingress refuses what it reads, and it exits once nothing more is to be written or read, 0.1 s later at most (LOOK_AGAIN, which exists).

Measured: endings.rs, what_was_read_behind_a_full_line..., fails without the mend (the 257th of 400 has no answer) and passes with it.

--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -300,6 +300,8 @@
     again: Vec<usize>,
     /// Connections are closed as soon as they are between requests.
     draining: bool,
+    /// What comes is refused: there is no time left to serve it.
+    ending: bool,
     lingering: usize,
     /// When the latest connection came.
     pub accepted_at: Micros,
@@ -334,6 +336,7 @@
             dirty: Vec::new(),
             again: Vec::new(),
             draining: false,
+            ending: false,
             lingering: 0,
             accepted_at: 0,
             surplus: 0,
@@ -714,6 +717,10 @@
                             c.closing = true;
                             at = c.buf.len();
                         }
+                        Some(Ok(call)) if self.ending => {
+                            self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
+                            c.answer_now(b"-BUSY\r\n");
+                        }
                         Some(Ok(call)) if !self.gate.open() => {
                             self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
                             c.answer_now(&self.gate.shut());
@@ -1057,6 +1064,11 @@
         }
     }
 
+    /// Refuses what comes from now on, also what was read and waits behind a full line.
+    pub fn end(&mut self) {
+        self.ending = true;
+    }
+
     /// Closes connections between requests from now on, those as well that have not said anything yet and takes
     /// no new ones, unless some are still `coming`.
     pub fn drain(&mut self, now: Micros, coming: bool) {
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -838,6 +838,7 @@
                     self.take_incoming();
                 }
                 Due::Last => {
+                    self.clients.end();
                     self.requests.ids().into_iter().for_each(|id| self.overdue(id));
                 }
             }
@@ -1176,7 +1177,7 @@
 
     /// Whether all that was taken is answered, and nobody is left who might say more.
     fn may_exit(&self) -> bool {
-        !self.requests.owe()
-            && self.shutdown.may_exit(self.now, self.clients.len(), || self.clients.busy() > 0)
+        let (clients, more) = (self.clients.len(), self.clients.has_more());
+        !self.requests.owe() && self.shutdown.may_exit(self.now, clients, more, || self.clients.busy() > 0)
     }
 }
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -70,10 +70,15 @@
         coming
     }
 
-    /// Whether nobody is left who might say more, where all that was taken is answered; `clients` are connected, and
-    /// `busy` says whether any of them still awaits something.
-    pub fn may_exit(&self, now: Micros, clients: usize, busy: impl Fn() -> bool) -> bool {
+    /// Whether nobody is left who might say more, where all that was taken is answered; `clients` are connected, `more` of what they
+    /// said is to be answered yet or read, and `busy` says whether any of them still awaits something.
+    pub fn may_exit(&self, now: Micros, clients: usize, more: bool, busy: impl Fn() -> bool) -> bool {
         let Some(since) = self.closing_since else { return false };
+        // What was read on the way out, or waits behind a full line, is refused in the next turns; one that sends without end
+        // must not keep it.
+        if more && now < self.last_at.saturating_add(LOOK_AGAIN) {
+            return false;
+        }
         let waited = now - since;
         // Half a request, or answers that nobody reads, must not keep it until it is killed.
         let quiet = || waited > LAST_WAIT && !busy();
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -219,6 +219,26 @@
     assert_eq!(ids(&backend), ["r1"], "read behind the end, it was sent on");
 }
 
+/// Guards against an exit over what has been read and not answered: requests behind a full line of answers are taken up as the
+/// line is answered, and that is at the last moment here.
+#[test]
+fn what_was_read_behind_a_full_line_is_answered_before_the_end() {
+    let backend = Backend::start(|_| Act::Silent);
+    let mut ingress = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]).start();
+    let mut client = ingress.client();
+    // A line holds 256; the first ones stay with the backend until the time to stop is over.
+    let many: Vec<u8> = (0..400).flat_map(|n| call("refer", &format!("r{n}"), 8000)).collect();
+    client.send(&many);
+    until("some are with the backend", || backend.count() > 0);
+    ingress.signal("TERM");
+    for n in 0..400 {
+        let answer = client.answer();
+        assert!(answer.starts_with("-BUSY") || answer.starts_with("-ERR"), "{n}: '{answer}'");
+    }
+    assert!(client.ended());
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
 /// Guards against a half-close that keeps the ingress from its end: a client that never closes is left after a second.
 #[test]
 fn clients_that_never_close_do_not_hold_up_the_end() {
