A process that a test stops has stopped before anything is sent to it

The test sends them to a member that it has told to stop; kill returns before a process on another core has stopped, so the first ten were read before the freeze, not after the thaw: the lease is looked at for each request, and what closed the gate behind the tenth was the freeze. The test was wrong, not the member.

Change: signal() of the stand-ins waits, behind STOP, until all threads of the process have stopped; the group's tests use the same one. Checks are as they were. A look into /proc/net/tcp stands once; a destructuring in clients.rs is shorter.

--- a/crates/ctl/tests/group/site.rs
+++ b/crates/ctl/tests/group/site.rs
@@ -368,8 +368,7 @@
             None => self.ingresses[n].as_ref().unwrap().child.id(),
             Some(w) => self.witnesses[w].as_ref().unwrap().id(),
         };
-        let line = format!("kill -{name} {id}");
-        assert!(Command::new("/bin/sh").args(["-c", &line]).status().unwrap().success());
+        signal(id, name);
     }
 
     /// Kills a member, and waits for its end.
--- a/crates/fleet/src/small.rs
+++ b/crates/fleet/src/small.rs
@@ -229,6 +229,24 @@
     format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
 }
 
+/// States of a TCP connection, by the kernel's numbers.
+pub const SYN_SENT: &str = "02";
+pub const FIN_WAIT_1: &str = "04";
+
+/// Whether a TCP connection stands in a state, as seen from its end at `from`, or from any.
+pub fn stands_in(state: &str, from: Option<SocketAddr>, to: SocketAddr) -> bool {
+    let hex = |at: SocketAddr| {
+        let SocketAddr::V4(at) = at else { panic!("{at}") };
+        format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port())
+    };
+    let (from, to) = (from.map(hex), hex(to));
+    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, is, ..] = fields[..] else { return false };
+        from.as_ref().is_none_or(|from| from == local) && remote == to && is == state
+    })
+}
+
 /// A listener to which nothing comes up until it is cleared: the kernel drops what its full line has no room for, and whoever
 /// connects tries again a second later.
 pub struct Jammed {
@@ -276,13 +294,7 @@
 
     /// Whether somebody is trying to connect at this moment.
     pub fn tried(&self) -> bool {
-        let SocketAddr::V4(at) = self.at else { panic!("{}", self.at) };
-        let to = format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port());
-        // By the kernel's number: SYN-SENT.
-        std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|line| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            fields.get(2) == Some(&&*to) && fields.get(3) == Some(&"02")
-        })
+        stands_in(SYN_SENT, None, self.at)
     }
 }
 
@@ -554,12 +566,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("/bin/sh")
-            .args(["-c", &format!("kill -{name} {id}")])
-            .status()
-            .unwrap()
-            .success());
+        signal(self.child.id(), name);
     }
 
     pub fn exit(&mut self) -> ExitStatus {
@@ -617,6 +624,20 @@
     }
 }
 
+/// Sends a process a signal. One that is told to stop has stopped, with all of its threads, once this returns: one that runs on
+/// another core goes on for a moment behind the signal, and would read what is sent to it then.
+pub fn signal(id: u32, name: &str) {
+    let line = format!("kill -{name} {id}");
+    assert!(Command::new("/bin/sh").args(["-c", &line]).status().unwrap().success());
+    if name == "STOP" {
+        until("the process has stopped", || {
+            std::fs::read_dir(format!("/proc/{id}/task")).unwrap().flatten().all(|task| {
+                std::fs::read_to_string(task.path().join("stat")).is_ok_and(|stat| stat.contains(") T "))
+            })
+        });
+    }
+}
+
 /// Ends a client's sending and reading.
 pub fn leave(client: Client) {
     let _ = client.0.shutdown(Shutdown::Both);
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -150,21 +150,8 @@
     /// With its stream again.
     fn with(self, stream: Stream) -> Client {
         let Client { stream: (), serial, buf, slots, first, ready, out, written, counted, since, .. } = self;
-        let Client {
-            begun,
-            proof,
-            errors,
-            closing,
-            linger_until,
-            surplus,
-            half_closed,
-            unread,
-            stalled,
-            dirty,
-            listed,
-            ..
-        } = self;
-        let Client { granted, granted_at, waits, .. } = self;
+        let Client { begun, proof, errors, closing, linger_until, surplus, half_closed, .. } = self;
+        let Client { unread, stalled, dirty, listed, granted, granted_at, waits, .. } = self;
         Client {
             stream,
             serial,
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -3,7 +3,6 @@
 //! order happens every time. `docs/design/0013-endings.md` lists these paths.
 
 use std::io::{ErrorKind, Read};
-use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,19 +30,6 @@
     backend.seen.commands.lock().unwrap().iter().map(|c| c[2].clone()).collect()
 }
 
-/// Whether any TCP connection between these two ends stands in a state, by the kernel's number, as seen from the first end.
-fn stands_in(state: &str, from: &TcpStream) -> bool {
-    let hex = |at: std::net::SocketAddr| {
-        let std::net::SocketAddr::V4(at) = at else { panic!("{at}") };
-        format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port())
-    };
-    let (theirs, ours) = (hex(from.peer_addr().unwrap()), hex(from.local_addr().unwrap()));
-    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        fields.get(1) == Some(&&*theirs) && fields.get(2) == Some(&&*ours) && fields.get(3) == Some(&state)
-    })
-}
-
 // ---- Keyed requests ----
 
 /// Guards against a repeat that begins in time and is written too late: the second attempt's connection comes up a second later,
@@ -210,8 +196,9 @@
     client.send(&call("refer", "r1", 5000));
     until("it is answered", || backend.count() == 1 && client.0.peek(&mut [0]).is_ok_and(|n| n == 1));
     ingress.signal("TERM");
-    // FIN-WAIT-1: the end stands behind the answer, which is not taken in yet.
-    until("the connection is being closed", || stands_in("04", &client.0));
+    // The end stands behind the answer, which is not taken in yet.
+    let ours = client.0.local_addr().unwrap();
+    until("the connection is being closed", || stands_in(FIN_WAIT_1, Some(ingress.at), ours));
     client.send(&call("refer", "crosses", 5000));
     assert!(client.answer() == value, "the answer did not come whole");
     assert!(client.ended());
