--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -248,7 +248,7 @@
         }
     }
 
-    /// Lets a request in if the buckets have room; without it, one that is held stays so till the `last` word.
+    /// Lets a request in if the buckets have room; without it, one that is held stays till the `last` word.
     fn admit(&mut self, id: RequestId, last: bool, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
         let (req, aim, held) = (o.req, o.class.aim, std::mem::take(&mut o.held));
@@ -1189,7 +1189,7 @@
 
     // ---- 7. New settings ----
 
-    /// Requests that are open end under their class as it was; buckets are filled by the old figures till now.
+    /// Open requests end under their class as it was; buckets are filled by the old figures till now.
     fn on_settings(&mut self, mut new: Settings) {
         // Places beyond the end may be in use still; what they were sold for must not count on the ladder.
         let price = new.plans.last().map_or(1.0, |p| p.price);
