An idle client's connection that has to go is half-closed, so its answer arrives

Need: of the clients' connections a sixth of the descriptors may be idle; one beyond that was closed at once.

Change: close_spare half-closes, as the end of the ingress does, and reads no more: the descriptor is not wanted at once there. Half-closed connections stand in a line of their own, the first to make room where no descriptor is left.

The property test of the lines has one kind more.

--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -191,7 +191,7 @@
     /// Where it stands, and since when; none where something is under way, or its end is.
     fn stands(&self) -> Option<Standing> {
         if self.unread {
-            return Some((Kind::Silent, self.since)); // half-closed at the end: it makes room before all others
+            return Some((Kind::HalfClosed, self.since));
         }
         let nothing_owed = self.slots.is_empty() && self.out.is_empty() && !self.closing && !self.surplus;
         let standing = match (self.buf.is_empty(), self.spoke()) {
@@ -940,8 +940,8 @@
         }
     }
 
-    /// The same at the end of the ingress: a last answer may have been written in this very turn, and the next request be on
-    /// its way, so the client is left to close it.
+    /// The same where the descriptor is not wanted at once: a last answer may still be on its way, and the next request on its own,
+    /// so the client is left to close it.
     fn half_close_if_silent(&mut self, key: usize, now: Micros) {
         self.read(key, now, true);
         let Some(c) = self.conns.get_mut(key).filter(|c| c.idle()) else { return };
@@ -953,12 +953,12 @@
         self.stand(key);
     }
 
-    /// Closes one of the connections that are idle behind an answer, the one that has been so for longest, if there
+    /// Half-closes one of the connections that are idle behind an answer, the one that has been so for longest, if there
     /// are more of them than `most`. One that has something to say by now stays.
-    pub fn close_spare(&mut self, most: usize) {
+    pub fn close_spare(&mut self, most: usize, now: Micros) {
         if self.lines.count(Kind::Idle) > most {
-            if let Some((key, since)) = self.oldest(Kind::Idle) {
-                self.close_if_silent(key, since);
+            if let Some((key, _)) = self.oldest(Kind::Idle) {
+                self.half_close_if_silent(key, now);
             }
         }
     }
@@ -970,6 +970,10 @@
 
     /// Closes a connection that nothing is owed to, to make room; false if there is none.
     pub fn close_oldest(&mut self) -> bool {
+        if let Some((key, _)) = self.oldest(Kind::HalfClosed) {
+            self.remove(key);
+            return true;
+        }
         loop {
             // What the latest say may be a moment behind their connecting: these go last.
             let latest = self.accepted_at;
@@ -978,9 +982,7 @@
             let others = [Kind::Half, Kind::Idle, Kind::Silent];
             let next = silent.or_else(|| others.into_iter().find_map(|kind| self.oldest(kind)));
             let Some((key, since)) = next else { return false };
-            if self.conns[key].unread {
-                self.remove(key);
-            } else if !self.conns[key].buf.is_empty() {
+            if !self.conns[key].buf.is_empty() {
                 // What it has said since may be all of its command.
                 self.read(key, since, true);
                 if self.conns.get(key).is_some_and(|c| matches!(c.standing, Some((Kind::Half, _)))) {
--- a/crates/ingress/src/eviction.rs
+++ b/crates/ingress/src/eviction.rs
@@ -1,6 +1,6 @@
-//! Which client's connection makes room for another: those that never spoke first, then the oldest half commands, last those that
-//! have served. Choosing costs the same however many there are: a connection stands in line from when it came to where it
-//! is, and one that has moved on since is skipped when its turn comes. No I/O and no clock.
+//! Which client's connection makes room for another: those that were half-closed first, then those that never spoke, then the oldest
+//! half commands, last those that have served. Choosing costs the same however many there are: a connection stands in line from when it
+//! came to where it is, and one that has moved on since is skipped when its turn comes. No I/O and no clock.
 
 use std::collections::VecDeque;
 use wrenfork_decision::Micros;
@@ -8,6 +8,8 @@
 /// Where a connection is that nothing is owed to, in the order in which they go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
+    /// Half-closed, and left to its client to close.
+    HalfClosed,
     /// It has not said anything yet.
     Silent,
     /// It is in the middle of a command.
@@ -29,8 +31,8 @@
 /// The lines, one for each kind.
 #[derive(Debug, Default)]
 pub struct Lines {
-    lines: [VecDeque<Entry>; 3],
-    counts: [usize; 3],
+    lines: [VecDeque<Entry>; 4],
+    counts: [usize; 4],
 }
 
 /// Entries that have moved on may be as many as those that stand, and a few more, before they are cleared out.
@@ -90,14 +92,16 @@
     use proptest::prelude::*;
     use std::collections::BTreeMap;
 
+    const KINDS: [Kind; 4] = [Kind::HalfClosed, Kind::Silent, Kind::Half, Kind::Idle];
+
     proptest! {
         /// Guards against one that is passed over, or taken though it has moved on, and against lines that only grow.
         #[test]
-        fn the_oldest_is_the_oldest_whatever_moved(moves in prop::collection::vec((0usize..20, 0u8..5), 1..600)) {
+        fn the_oldest_is_the_oldest_whatever_moved(moves in prop::collection::vec((0usize..20, 0u8..6), 1..600)) {
             let mut lines = Lines::default();
             let mut stand: BTreeMap<usize, Standing> = BTreeMap::new();
             for (now, (key, what)) in moves.into_iter().enumerate() {
-                let kind = [Some(Kind::Silent), Some(Kind::Half), Some(Kind::Idle), None, None][usize::from(what)];
+                let kind = KINDS.get(usize::from(what)).copied();
                 let (from, to) = (stand.get(&key).copied(), kind.map(|k| (k, now as Micros)));
                 match to {
                     Some(to) => drop(stand.insert(key, to)),
@@ -105,7 +109,7 @@
                 }
                 let at = stand.clone();
                 lines.moved((key, 7), from, to, |k, _| at.get(&k).copied());
-                for kind in [Kind::Silent, Kind::Half, Kind::Idle] {
+                for kind in KINDS {
                     let of: Vec<_> = stand.iter().filter(|(_, s)| s.0 == kind).collect();
                     prop_assert_eq!(lines.count(kind), of.len());
                     let want = of.iter().min_by_key(|(_, s)| s.1).map(|(k, s)| (**k, s.1));
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -729,8 +729,8 @@
     }
 
     fn accept(&mut self) {
-        let (budget, backends) = (self.budget, &mut self.backends);
-        let room = |clients: &mut Clients| budget.client(clients, backends);
+        let (budget, backends, now) = (self.budget, &mut self.backends, self.now);
+        let room = |clients: &mut Clients| budget.client(clients, backends, now);
         match self.clients.accept(self.poll.registry(), self.now, room) {
             Accepted::All => {}
             Accepted::More => self.accept_more = true,
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -56,8 +56,8 @@
     }
 
     /// Whether one more client may come in, if need be in place of an idle connection.
-    pub fn client(self, clients: &mut Clients, backends: &mut Backends) -> Room {
-        clients.close_spare(self.idle);
+    pub fn client(self, clients: &mut Clients, backends: &mut Backends, now: Micros) -> Room {
+        clients.close_spare(self.idle, now);
         let full = clients.len() >= self.share() || self.spent(clients, backends);
         if !full || clients.close_oldest() || (clients.len() < self.share() && backends.close_oldest()) {
             Room::Free
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -179,15 +179,8 @@
 
 // ---- The end of the ingress ----
 
-/// Guards against an answer that is lost on its way: closed over a request that crosses the close, the connection would be reset,
-/// and what its client has not taken in yet be gone.
-#[test]
-fn an_answer_on_its_way_outlives_a_request_that_crosses_the_end() {
-    let value = "v".repeat(60_000);
-    let answer = format!("*3\r\n$60000\r\n{value}\r\n$-1\r\n$-1\r\n").into_bytes();
-    let backend = Backend::start(move |_| Act::Say(answer.clone()));
-    let mut ingress = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]).start();
-    // A client that takes in little at a time: the kernel holds the rest of its answer.
+/// A client that takes in little at a time, so that the kernel holds the rest of its answer, with the answer to `r1` on its way.
+fn with_an_answer_on_its_way(ingress: &Ingress, backend: &Backend) -> Client {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
     socket.connect(&ingress.at.into()).unwrap();
@@ -195,17 +188,60 @@
     let mut client = Client(socket.into());
     client.send(&call("refer", "r1", 5000));
     until("it is answered", || backend.count() == 1 && client.0.peek(&mut [0]).is_ok_and(|n| n == 1));
-    ingress.signal("TERM");
-    // The end stands behind the answer, which is not taken in yet.
+    client
+}
+
+/// Sends a request once the end of its connection stands behind an answer that is not taken in yet: that one has to come whole,
+/// and the request, never read, must not be sent on.
+fn a_request_that_crosses(ingress: &Ingress, client: &mut Client, answer: &str) {
     let ours = client.0.local_addr().unwrap();
     until("the connection is being closed", || stands_in(FIN_WAIT_1, Some(ingress.at), ours));
     client.send(&call("refer", "crosses", 5000));
-    assert!(client.answer() == value, "the answer did not come whole");
+    assert!(client.answer() == answer, "the answer did not come whole");
     assert!(client.ended());
+}
+
+/// A backend whose value for `r1` is longer than a client's kernel takes in here, and the value.
+fn with_a_long_value() -> (Backend, String) {
+    let value = "v".repeat(60_000);
+    let answer = format!("*3\r\n$60000\r\n{value}\r\n$-1\r\n$-1\r\n").into_bytes();
+    let act = move |args: &[String]| if args[2] == "r1" { Act::Say(answer.clone()) } else { serve(args) };
+    (Backend::start(act), value)
+}
+
+/// Guards against an answer that is lost on its way: closed over a request that crosses the close, the connection would be reset,
+/// and what its client has not taken in yet be gone.
+#[test]
+fn an_answer_on_its_way_outlives_a_request_that_crosses_the_end() {
+    let (backend, value) = with_a_long_value();
+    let mut ingress = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]).start();
+    let mut client = with_an_answer_on_its_way(&ingress, &backend);
+    ingress.signal("TERM");
+    a_request_that_crosses(&ingress, &mut client, &value);
     assert_eq!(ingress.exit().code(), Some(0));
     assert_eq!(ids(&backend), ["r1"], "read behind the end, it was sent on");
 }
 
+/// Guards against the same where an ingress that goes on serving ends an idle connection: of 120 descriptors a sixth may be idle.
+#[test]
+fn an_answer_on_its_way_outlives_a_request_that_crosses_an_eviction() {
+    let (backend, value) = with_a_long_value();
+    let setup = Setup { sockets: 120, ..Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]) };
+    let ingress = setup.start();
+    let mut client = with_an_answer_on_its_way(&ingress, &backend);
+    let stay = |n: usize| {
+        let mut client = ingress.client();
+        assert_eq!(client.ask(&call("refer", &format!("s{n}"), 900)), format!("value of s{n}"));
+        client
+    };
+    let others: Vec<Client> = (0..24).map(stay).collect();
+    a_request_that_crosses(&ingress, &mut client, &value);
+    let mut last = ingress.client();
+    assert_eq!(last.ask(&call("refer", "last", 900)), "value of last");
+    assert!(!ids(&backend).contains(&"crosses".to_string()), "read behind the end, it was sent on");
+    drop(others);
+}
+
 /// Guards against an exit over what has been read and not answered: requests behind a full line of answers are taken up as the
 /// line is answered, and that is at the last moment here.
 #[test]
