An attempt whose connection comes up late tells its backend what is left by then

The command was made out when the connect began; one that came up as late as the settings allow told that much more (250 ms on the sites at hand, more where a customer's settings allow more).

Change: what comes up behind its begin is handed to the loop, which makes the command out anew and writes it.

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -138,6 +138,9 @@
     /// by then begins anew.
     #[serde(skip)]
     begin_by: Micros,
+    /// When the attempt is given up, which its command tells.
+    #[serde(skip)]
+    until: Micros,
     /// When its answer began to come.
     heard: Micros,
     out: Vec<u8>,
@@ -183,7 +186,7 @@
     /// With its stream again.
     fn with(self, stream: Stream) -> Conn {
         let Conn { stream: (), serial, backend, place, connected, race, work, since, idled, .. } = self;
-        let Conn { begin_by, heard, out, body, written, buf, long, paused, .. } = self;
+        let Conn { begin_by, until, heard, out, body, written, buf, long, paused, .. } = self;
         Conn {
             stream,
             serial,
@@ -195,6 +198,7 @@
             since,
             idled,
             begin_by,
+            until,
             heard,
             out,
             body,
@@ -252,6 +256,8 @@
     again: Vec<Link>,
     /// Races in which something has happened, each by the connection that has the work.
     races: Vec<Link>,
+    /// Connections that came up behind the begin of their attempts.
+    opened: Vec<Link>,
 }
 
 /// The value's bytes if this is the answer to a request, else none.
@@ -313,6 +319,7 @@
             flows: Vec::new(),
             again: Vec::new(),
             races: Vec::new(),
+            opened: Vec::new(),
         }
     }
 
@@ -469,14 +476,14 @@
         }
     }
 
-    /// Begins an attempt or a probe with what `fill` writes, which has to be written whole by `begin_by`. What fails at once is
-    /// in `done`; else the connection is told, and whether it is still to come up.
+    /// Begins an attempt or a probe with what `fill` writes, which has to be written whole by `begin_by` and tells that it is given
+    /// up at `until`. What fails at once is in `done`; else the connection is told, and whether it is still to come up.
     pub fn begin(
         &mut self,
         registry: &Registry,
         backend: BackendId,
         work: Work,
-        (now, begin_by): (Micros, Micros),
+        (now, begin_by, until): (Micros, Micros, Micros),
         fill: impl FnOnce(&mut Vec<u8>) -> Option<Body>,
     ) -> Option<(Link, bool)> {
         let Some(key) = self.connection(registry, backend, now) else {
@@ -486,7 +493,7 @@
         };
         let conn = &mut self.conns[key];
         (conn.work, conn.since, conn.written) = (Some(work), now, 0);
-        conn.begin_by = begin_by;
+        (conn.begin_by, conn.until) = (begin_by, until);
         conn.out.clear();
         conn.body = fill(&mut conn.out);
         let link = Link { key, serial: conn.serial };
@@ -548,6 +555,7 @@
             since: now,
             idled: None,
             begin_by: 0,
+            until: 0,
             heard: 0,
             out: Vec::new(),
             body: None,
@@ -640,7 +648,7 @@
         // It began first and is not up yet: next time it comes behind the others.
         self.note(backend, &overtaken, Fared::Unreached, now);
         self.settled(link.key);
-        self.write(link.key, now);
+        self.write_up(link.key, now);
     }
 
     /// A connection is up: its race is over.
@@ -730,6 +738,36 @@
         }
     }
 
+    /// Writes to a connection that has just come up: an attempt's command tells how long is left, and that is less by now.
+    fn write_up(&mut self, key: usize, now: Micros) {
+        let conn = &self.conns[key];
+        match conn.work {
+            Some(Work::Attempt(..)) => self.opened.push(Link { key, serial: conn.serial }),
+            _ => self.write(key, now),
+        }
+    }
+
+    /// A connection that came up behind the begin of its attempt, which is to be [written](Backends::write_anew), and when that
+    /// is given up.
+    pub fn opened(&mut self) -> Option<(Link, RequestId, Micros)> {
+        while let Some(link) = self.opened.pop() {
+            if let Some(Conn { work: Some(Work::Attempt(id, _)), until, .. }) = self.alive(link) {
+                return Some((link, *id, *until));
+            }
+        }
+        None
+    }
+
+    /// Writes an attempt's command as `fill` has it by now.
+    pub fn write_anew(&mut self, link: Link, now: Micros, fill: impl FnOnce(&mut Vec<u8>)) {
+        let conn = &mut self.conns[link.key];
+        if conn.written == 0 {
+            conn.out.clear();
+            fill(&mut conn.out);
+        }
+        self.write(link.key, now);
+    }
+
     fn write(&mut self, key: usize, now: Micros) {
         let conn = &mut self.conns[key];
         while !conn.sent() {
@@ -783,8 +821,8 @@
                 return self.races.push(of);
             }
             self.settled(key);
-        }
-        if writable && !self.conns[key].sent() {
+            self.write_up(key, now);
+        } else if writable && !conn.sent() {
             self.write(key, now);
         }
         // It may have come up between the look at it and the write.
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -896,6 +896,14 @@
             while let Some(link) = self.backends.raced() {
                 self.race(link);
             }
+            while let Some((link, id, until)) = self.backends.opened() {
+                // What it says of the time left is as old as its begin.
+                let now = self.clock.now();
+                if let Some(open) = self.requests.get(id) {
+                    self.backends
+                        .write_anew(link, now, |out| open.call.write(until.saturating_sub(now), out));
+                }
+            }
             while let Some(link) = self.backends.flow() {
                 self.pass_on(link);
             }
@@ -1105,7 +1113,7 @@
         let began = self.clock.now();
         open.attempts[number].began = began;
         let begin_by = begin_by.min(until);
-        let begun = self.backends.begin(registry, backend, work, (began, begin_by), |out| {
+        let begun = self.backends.begin(registry, backend, work, (began, begin_by, until), |out| {
             open.call.write(wait, out);
             open.call.body()
         });
@@ -1146,7 +1154,8 @@
             resp::put_bulk(out, &[b"load"]);
             None
         };
-        let times = (self.now, self.now + self.connect_timeout);
+        let until = self.now + self.connect_timeout;
+        let times = (self.now, until, until);
         let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, times, fill);
         if let Some((link, _)) = begun {
             if let Some(at) = self.backends.race_due(link) {
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -135,6 +135,27 @@
     assert_eq!(figure(at, "ingress.relayed"), sent + 1, "{:?}", ids(&backend));
 }
 
+// ---- Connections that come up late ----
+
+/// Guards against a command that tells its backend more time than its client has left: it was made out when the connect began.
+#[test]
+fn an_attempt_whose_connection_came_up_late_tells_what_is_left_by_then() {
+    let jammed = Jammed::start();
+    let mut setup = patient(&[]);
+    setup.known = vec![jammed.entry("s-0", "up")];
+    let ingress = setup.start();
+    let (mut client, asked) = (ingress.client(), Instant::now());
+    client.send(&call("refer", "r1", 5000));
+    until("it is on its way", || jammed.tried() && asked.elapsed() > Duration::from_millis(300));
+    let held = asked.elapsed().as_millis();
+    let backend = Backend::on(jammed.clear(), serve);
+    assert_eq!(client.answer(), "value of r1");
+    let commands = backend.seen.commands.lock().unwrap();
+    let told = commands[0][3].split(',').find_map(|o| o.strip_prefix("d=")).unwrap();
+    println!("told {told} ms of 5000, {held} ms after it was asked for or later");
+    assert!(told.parse::<u128>().unwrap() <= 5000 - held, "{told} ms, {held} ms after it was asked for");
+}
+
 // ---- Backends that say more than they were asked ----
 
 /// Guards against half a line that comes while a connection rests, or after it has rested: read as the head of the next answer,
