The test of two handovers under load waits until the second process can be found

(upgrade.rs:192, 'the process ends'): the second process did not end, since the third did not ask it. Cause, read from the code and not provoked: the second takes the first one's place at its start, or, if that one is not gone yet, at its next look up to 0.5 s later; a third that starts before that finds nobody and begins anew.

--- a/crates/ingress/tests/upgrade.rs
+++ b/crates/ingress/tests/upgrade.rs
@@ -188,6 +188,8 @@
     let (memory, descriptors) = seen.stop();
     let before = asked.load(Ordering::SeqCst);
     until("it serves", || asked.load(Ordering::SeqCst) > before + 200);
+    // It takes the place of the one before at its next look, up to half a second later.
+    until("the second can be found", || UnixStream::connect(platform.channel()).is_ok());
     let third = platform.start();
     assert!(second.ended().contains("handed over"));
     let before = asked.load(Ordering::SeqCst);
