--- a/crates/fleet/src/small.rs
+++ b/crates/fleet/src/small.rs
@@ -624,17 +624,21 @@
     }
 }
 
+/// Whether a process stands still, with all of its threads.
+pub fn stopped(id: u32) -> bool {
+    std::fs::read_dir(format!("/proc/{id}/task"))
+        .unwrap()
+        .flatten()
+        .all(|task| std::fs::read_to_string(task.path().join("stat")).is_ok_and(|stat| stat.contains(") T ")))
+}
+
 /// Sends a process a signal. One that is told to stop has stopped, with all of its threads, once this returns: one that runs on
 /// another core goes on for a moment behind the signal, and would read what is sent to it then.
 pub fn signal(id: u32, name: &str) {
     let line = format!("kill -{name} {id}");
     assert!(Command::new("/bin/sh").args(["-c", &line]).status().unwrap().success());
     if name == "STOP" {
-        until("the process has stopped", || {
-            std::fs::read_dir(format!("/proc/{id}/task")).unwrap().flatten().all(|task| {
-                std::fs::read_to_string(task.path().join("stat")).is_ok_and(|stat| stat.contains(") T "))
-            })
-        });
+        until("the process has stopped", || stopped(id));
     }
 }
 
