A first command is timed from its first byte, not from its connection's coming

A client that connects, rests for 2 s and then sends its first command in two pieces had the first half broken off at the next look (half a second at most), told "the rest of a command did not come in time", and its rest was read and dropped: a request that was taken and has no whole answer behind it. README and design say 2 s of silence before the first command, or 2 s in the middle of one.

Now the first byte begins it, whatever came before. Connections that make room are looked at with the turn's clock as well: they were read with the moment since which they had rested, which had the same effect on half a command that crosses (a race, not provoked here).

Test: a_first_command_is_timed_from_its_first_byte. Without the change: "-ERR the rest of a command did not come in time".

--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -444,7 +444,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(e) if e.kind() == ErrorKind::PermissionDenied => {}
                 // Out of descriptors or memory in spite of the budget: an idle one may make room.
-                Err(_) if self.close_oldest() => {}
+                Err(_) if self.close_oldest(now) => {}
                 Err(_) => return Accepted::NoRoom,
             }
         }
@@ -565,8 +565,9 @@
                     }
                 }
                 Ok(n) => {
-                    // A long body may take its time as long as it comes.
-                    if (c.buf.is_empty() && c.spoke()) || c.granted > 0 {
+                    // Half a command is timed from its first byte, however long its connection has rested; a long body may
+                    // take its time as long as it comes.
+                    if c.buf.is_empty() || c.granted > 0 {
                         c.begun = now.max(c.begun);
                     }
                     c.buf.extend_from_slice(&self.chunk[..n]);
@@ -969,7 +970,7 @@
     }
 
     /// Closes a connection that nothing is owed to, to make room; false if there is none.
-    pub fn close_oldest(&mut self) -> bool {
+    pub fn close_oldest(&mut self, now: Micros) -> bool {
         if let Some((key, _)) = self.oldest(Kind::HalfClosed) {
             self.remove(key);
             return true;
@@ -981,15 +982,15 @@
             let silent = self.oldest(Kind::Silent).filter(|(_, since)| !fresh(*since));
             let others = [Kind::Half, Kind::Idle, Kind::Silent];
             let next = silent.or_else(|| others.into_iter().find_map(|kind| self.oldest(kind)));
-            let Some((key, since)) = next else { return false };
+            let Some((key, _)) = next else { return false };
             if !self.conns[key].buf.is_empty() {
                 // What it has said since may be all of its command.
-                self.read(key, since, true);
+                self.read(key, now, true);
                 if self.conns.get(key).is_some_and(|c| matches!(c.standing, Some((Kind::Half, _)))) {
                     self.remove(key);
                 }
             } else {
-                self.close_if_silent(key, since);
+                self.close_if_silent(key, now);
             }
             if !self.conns.contains(key) {
                 return true;
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -59,7 +59,7 @@
     pub fn client(self, clients: &mut Clients, backends: &mut Backends, now: Micros) -> Room {
         clients.close_spare(self.idle, now);
         let full = clients.len() >= self.share() || self.spent(clients, backends);
-        if !full || clients.close_oldest() || (clients.len() < self.share() && backends.close_oldest()) {
+        if !full || clients.close_oldest(now) || (clients.len() < self.share() && backends.close_oldest()) {
             Room::Free
         } else if clients.surplus() < MOST_SURPLUS {
             Room::Surplus
@@ -82,6 +82,6 @@
         if backends.len() >= self.share() {
             return backends.close_oldest();
         }
-        !self.spent(clients, backends) || backends.close_oldest() || clients.close_oldest()
+        !self.spent(clients, backends) || backends.close_oldest() || clients.close_oldest(now)
     }
 }
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -5,6 +5,7 @@
 use std::io::{ErrorKind, Read};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 use wrenfork_fleet::small::operators::figure;
 use wrenfork_fleet::small::*;
@@ -135,6 +136,24 @@
     assert_eq!(figure(at, "ingress.relayed"), sent + 1, "{:?}", ids(&backend));
 }
 
+/// Guards against a first command that is broken off half way because its connection had rested before it: its client is still
+/// sending, and what it asked for would be lost with the rest.
+#[test]
+fn a_first_command_is_timed_from_its_first_byte() {
+    let backend = Backend::start(serve);
+    let ingress = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]).start();
+    let mut client = ingress.client();
+    let mut silent = ingress.client();
+    // It rests for less than a connection may that says nothing, and goes on once the other one, accepted behind it, has been
+    // closed for that.
+    thread::sleep(Duration::from_millis(1500));
+    let asked = call("refer", "r1", 5000);
+    client.send(&asked[..40]);
+    assert!(silent.ended());
+    client.send(&asked[40..]);
+    assert_eq!(client.answer(), "value of r1");
+}
+
 // ---- Connections that come up late ----
 
 /// Guards against a command that tells its backend more time than its client has left: it was made out when the connect began.
