Evictions, health checks, connection pools and the graceful shutdown are called so

`close_oldest` and `close_spare` of clients and backends, which make room for another connection, are `evict_oldest` and `evict_spare`; comments of the same files speak of connection pools, health checks (the wire's word stays probe) and the graceful shutdown.

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -1,4 +1,4 @@
-//! Connections to backends: a pool for each, attempts and probes, and how these end. A connection carries one
+//! Connections to backends: a connection pool for each, attempts and health checks (probes), and how these end. A connection carries one
 //! request at a time, for calling an attempt off means closing its connection.
 
 use crate::discovery::Roster;
@@ -106,7 +106,7 @@
     serial: u64,
 }
 
-/// How an attempt or a probe ended.
+/// How an attempt or a health check ended.
 pub struct Done {
     pub work: Work,
     pub backend: BackendId,
@@ -476,7 +476,7 @@
         }
     }
 
-    /// Begins an attempt or a probe with what `fill` writes, which has to be written whole by `begin_by` and tells that it is given
+    /// Begins an attempt or a health check with what `fill` writes, which has to be written whole by `begin_by` and tells that it is given
     /// up at `until`. What fails at once is in `done`; else the connection is told, and whether it is still to come up.
     pub fn begin(
         &mut self,
@@ -1032,8 +1032,8 @@
         }
     }
 
-    /// Closes the connection that has been idle for longest, to make room; false if none is idle.
-    pub fn close_oldest(&mut self) -> bool {
+    /// Evicts the connection that has been idle for longest, to make room; false if none is idle.
+    pub fn evict_oldest(&mut self) -> bool {
         let idle = self.conns.iter().filter(|(_, c)| c.work.is_none());
         let oldest = idle.min_by_key(|(_, c)| (c.since, c.serial)).map(|(key, _)| key);
         oldest.into_iter().for_each(|key| self.remove(key));
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -444,7 +444,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(e) if e.kind() == ErrorKind::PermissionDenied => {}
                 // Out of descriptors or memory in spite of the budget: an idle one may make room.
-                Err(_) if self.close_oldest(now) => {}
+                Err(_) if self.evict_oldest(now) => {}
                 Err(_) => return Accepted::NoRoom,
             }
         }
@@ -954,9 +954,9 @@
         self.stand(key);
     }
 
-    /// Half-closes one of the connections that are idle behind an answer, the one that has been so for longest, if there
+    /// Evicts, by a half-close, one of the connections that are idle behind an answer, the one that has been so for longest, if there
     /// are more of them than `most`. One that has something to say by now stays.
-    pub fn close_spare(&mut self, most: usize, now: Micros) {
+    pub fn evict_spare(&mut self, most: usize, now: Micros) {
         if self.lines.count(Kind::Idle) > most {
             if let Some((key, _)) = self.oldest(Kind::Idle) {
                 self.half_close_if_silent(key, now);
@@ -969,8 +969,8 @@
         self.lines.oldest(kind, |key, serial| standing(conns, key, serial))
     }
 
-    /// Closes a connection that nothing is owed to, to make room; false if there is none.
-    pub fn close_oldest(&mut self, now: Micros) -> bool {
+    /// Evicts a connection that nothing is owed to, to make room; false if there is none.
+    pub fn evict_oldest(&mut self, now: Micros) -> bool {
         if let Some((key, _)) = self.oldest(Kind::HalfClosed) {
             self.remove(key);
             return true;
--- a/crates/ingress/src/eviction.rs
+++ b/crates/ingress/src/eviction.rs
@@ -1,4 +1,4 @@
-//! Which client's connection makes room for another: those that were half-closed first, then those that never spoke, then the oldest
+//! Which client's connection is evicted to make room for another: those that were half-closed first, then those that never spoke, then the oldest
 //! half commands, last those that have served. Choosing costs the same however many there are: a connection stands in line from when it
 //! came to where it is, and one that has moved on since is skipped when its turn comes. No I/O and no clock.
 
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -57,9 +57,9 @@
 
     /// Whether one more client may come in, if need be in place of an idle connection.
     pub fn client(self, clients: &mut Clients, backends: &mut Backends, now: Micros) -> Room {
-        clients.close_spare(self.idle, now);
+        clients.evict_spare(self.idle, now);
         let full = clients.len() >= self.share() || self.spent(clients, backends);
-        if !full || clients.close_oldest(now) || (clients.len() < self.share() && backends.close_oldest()) {
+        if !full || clients.evict_oldest(now) || (clients.len() < self.share() && backends.evict_oldest()) {
             Room::Free
         } else if clients.surplus() < MOST_SURPLUS {
             Room::Surplus
@@ -80,8 +80,8 @@
             return true;
         }
         if backends.len() >= self.share() {
-            return backends.close_oldest();
+            return backends.evict_oldest();
         }
-        !self.spent(clients, backends) || backends.close_oldest() || clients.close_oldest(now)
+        !self.spent(clients, backends) || backends.evict_oldest() || clients.evict_oldest(now)
     }
 }
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The end of an ingress that was told to stop: how long it still accepts, answers, and waits for clients.
+//! The graceful shutdown of an ingress that was told to stop: how long it still accepts, answers, and waits for clients.
 
 use crate::timers::{Due, Timers};
 use wrenfork_decision::Micros;
