A list that came whole before a reset is heard; noise between two calls spoils nothing

Read in the code, then provoked: discovery's answers were read to the end of what the socket had before they were looked at, and a reset behind a whole answer threw that away (`Watch::ready`, the error arm of its read). What discovery has written is told, so a backend that drains went on being sent to until discovery could be asked again: for ever, where it can't. Bytes between two calls ended their connection but stayed in the buffer, so the answer to the next call was read behind them and failed ("an answer is no HTTP"), with a pause of up to 1.5 s.

Now what came whole is taken in, and the connection is given up behind it; an answer without length still needs its end, and a reset is none. What comes between calls goes with its connection, and the next call comes when it would have come (it came at once, which one that answers with nothing and closes could have made a loop of).

Tests, both seen to fail without the change: a_list_that_came_whole_before_a_reset_is_heard (20 of 20 requests went to the draining backend; now 0), what_comes_between_two_calls_spoils_nothing (the answer to the next call was not taken). The counter's and the backends' reads were looked at for the same: they take what came first.

--- a/crates/ingress/src/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -246,7 +246,9 @@
             return true;
         }
         let mut chunk = [0; 16 * 1024];
-        // An answer that ends with its connection can only be judged with the end known.
+        // An answer that ends with its connection can only be judged with the end known. A reset is no end, but what came whole
+        // before it has been told.
+        let mut reset = None;
         let ended = loop {
             let Some(stream) = &mut self.stream else { return false };
             match stream.read(&mut chunk) {
@@ -256,20 +258,24 @@
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
                     break false
                 }
-                Err(e) => return self.fail(now, Failure::Broken, &e.to_string()),
+                Err(e) => {
+                    reset = Some(e.to_string());
+                    break false;
+                }
             }
             if self.buf.len() > MOST_HEAD + MOST_BODY {
                 return self.fail(now, Failure::Broken, "an answer is too long");
             }
         };
         let Some(called) = self.called else {
-            // Between two calls nothing is due but the end of the connection.
-            (self.stream, self.wake_at) = (None, now);
+            // Between two calls nothing is due but the end of the connection; the next call has one of its own.
+            self.stream = None;
+            self.buf.clear();
             return false;
         };
         match read_answer(&self.buf, ended, &self.sites) {
             Answer::Partial if ended => self.fail(now, Failure::Broken, "the connection ended"),
-            Answer::Partial => false,
+            Answer::Partial => reset.is_some_and(|why| self.fail(now, Failure::Broken, &why)),
             Answer::Bad(failure, why) => self.fail(now, failure, &why),
             Answer::Whole(roster, reusable) => {
                 if std::mem::take(&mut self.broken) {
@@ -278,7 +284,7 @@
                 (self.index, self.called) = (Some(roster.index), None);
                 self.backoff.reset();
                 self.buf.clear();
-                if ended || !reusable {
+                if ended || reset.is_some() || !reusable {
                     self.stream = None;
                 }
                 // One that answers at once with nothing must not be asked without end.
--- a/crates/ingress/src/discovery/tests.rs
+++ b/crates/ingress/src/discovery/tests.rs
@@ -1,6 +1,9 @@
 //! How answers of discovery are read.
 
 use super::*;
+use mio::{Events, Poll};
+use std::net::TcpListener;
+use std::time::Duration;
 
 fn sites() -> Sites {
     Sites { zones: vec!["a".into(), "b".into()], kinds: vec!["m1".into(), "m2".into()] }
@@ -46,3 +49,59 @@
         assert!(matches!(read_answer(bad.as_bytes(), false, &sites()), Answer::Bad(..)), "{bad}");
     }
 }
+
+/// What a watch took in until `enough` of its state, with the clock standing at `now`; whether it failed meanwhile.
+fn hears(
+    watch: &mut Watch,
+    poll: &mut Poll,
+    now: Micros,
+    enough: impl Fn(&Watch) -> bool,
+) -> (Vec<u64>, bool) {
+    let (mut events, mut came, mut failed) = (Events::with_capacity(8), Vec::new(), false);
+    while !enough(watch) {
+        poll.poll(&mut events, Some(Duration::from_secs(20))).unwrap();
+        assert!(!events.is_empty(), "nothing comes any more");
+        failed |= watch.ready(now, poll.registry(), &mut |roster| came.push(roster.index));
+    }
+    (came, failed)
+}
+
+/// Guards against noise behind an answer that is read as the head of the next one: the call after it would fail, and what it told
+/// be heard later.
+#[test]
+fn what_comes_between_two_calls_spoils_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut poll = Poll::new().unwrap();
+    let mut watch = Watch::new(listener.local_addr().unwrap(), sites(), 1, Token(1), 7);
+    let accept = || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let (mut head, mut chunk) = (Vec::new(), [0; 1024]);
+        move |answer: &str| {
+            while !head.ends_with(b"\r\n\r\n") {
+                let n = stream.read(&mut chunk).unwrap();
+                head.extend_from_slice(&chunk[..n]);
+            }
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    };
+    let answer = |index: u64, entries: &str| {
+        let body = format!(r#"{{"index":{index},"snapshot":false,"endpoints":[{entries}]}}"#);
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    assert!(!watch.wake(0, poll.registry()));
+    let mut first = accept();
+    hears(&mut watch, &mut poll, 0, |w| w.out.is_empty());
+    // At once and with nothing: the next call waits a little, and meanwhile there comes what nobody asked for.
+    first(&answer(1, ""));
+    assert_eq!(hears(&mut watch, &mut poll, 0, |w| w.called.is_none()), (vec![1], false));
+    first("HTTP/1.1 200 OK\r\nContent-Len");
+    assert_eq!(hears(&mut watch, &mut poll, 0, |w| w.stream.is_none()), (vec![], false));
+    assert!(watch.wake_at <= NO_NEWS, "the next call comes when it would have come");
+    assert!(!watch.wake(NO_NEWS, poll.registry()));
+    let mut second = accept();
+    second(&answer(2, r#"{"name":"s-2","status":"removed"}"#));
+    assert_eq!(
+        hears(&mut watch, &mut poll, NO_NEWS, |w| w.index == Some(2) || w.called.is_none()),
+        (vec![2], false)
+    );
+}
--- a/crates/ingress/tests/told.rs
+++ b/crates/ingress/tests/told.rs
@@ -1,6 +1,8 @@
 //! How long a change of the list may stay unheard: six seconds after discovery had it and could be reached, whatever failed before.
 //! Each test prints what it measured beside the bound.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use wrenfork_fleet::small::*;
@@ -103,3 +105,33 @@
         assert_eq!(one.count(), 0, "the one that was removed meanwhile");
     }
 }
+
+/// Guards against a list that is thrown away with its connection: it has come whole, and been told, when a reset comes right behind
+/// it. Nothing can be asked any more, so what drains would go on being sent to.
+#[test]
+fn a_list_that_came_whole_before_a_reset_is_heard() {
+    let (drains, stays) = (Backend::start(serve), Backend::start(serve));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut setup = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&drains, &stays]);
+    setup.discovery = Some(listener.local_addr().unwrap());
+    let ingress = setup.start();
+    let (mut watch, _) = listener.accept().unwrap();
+    drop(listener);
+    let (mut call_out, mut chunk) = (Vec::new(), [0; 1024]);
+    while !call_out.ends_with(b"\r\n\r\n") {
+        let n = watch.read(&mut chunk).unwrap();
+        call_out.extend_from_slice(&chunk[..n]);
+    }
+    // Both are there when it looks again.
+    ingress.signal("STOP");
+    let body = list(2, false, &[drains.entry("s-0", "draining")]);
+    write!(watch, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    socket2::SockRef::from(&watch).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(watch);
+    ingress.signal("CONT");
+    let mut client = ingress.client();
+    for n in 0..20 {
+        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 3000)), format!("value of r{n}"));
+    }
+    assert_eq!((drains.count(), stays.count()), (0, 20));
+}
