A long answer that breaks takes no other answer on its client's connection with it

An answer over 64 KiB passes on as it comes; where it breaks in the middle, its client's connection is ended (`Clients::cut`), for nothing else can tell. With it went the answers of all other requests on that connection: those behind it in the line, and, where none of it had passed yet, those before it. Shown over sockets: of q1, l2 (breaks), q3 in one line, q3 got no answer.

Behind one that passes on nothing is read. Where others stand before it in the line, none of it has been written, and it fails with -ERR instead of ending their connection.

Tests, seen to fail before: what_breaks_in_the_middle_takes_no_other_answer_with_it (q3 ""), nothing_is_read_behind_an_answer_that_passes_on (4 commands at the backend, 3 wanted).

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -852,6 +852,32 @@
         self.alive(link).is_some_and(|c| c.paused)
     }
 
+    /// Has an answer read whole before any of it passes on, where that takes no more than `room` bytes beside others that are; false
+    /// if it is to pass on now: it is whole, or it takes more.
+    pub fn hold(&mut self, link: Link, room: usize, now: Micros) -> bool {
+        let others = self.conns.iter().filter(|(key, c)| *key != link.key && c.long.is_some());
+        let held: usize = others.map(|(_, c)| c.buf.capacity()).sum();
+        let Some(conn) = self.conns.get_mut(link.key).filter(|c| c.serial == link.serial) else {
+            return true;
+        };
+        let Some(long) = &conn.long else { return true };
+        match long.whole(&conn.buf) {
+            Ok(true) => return false,
+            Ok(false) if held + long.left() > room => return false,
+            Ok(false) => {
+                conn.buf.reserve_exact((long.left() + CHUNK).saturating_sub(conn.buf.len()));
+                (conn.paused, conn.heard) = (false, now);
+                self.again.push(link);
+            }
+            Err(_) => {
+                let outcome = conn.broken();
+                self.end(link.key, outcome, Vec::new(), None, now);
+                self.remove(link.key);
+            }
+        }
+        true
+    }
+
     /// Passes on what has come; the connection is read on from the next turn.
     pub fn pull(&mut self, link: Link, out: &mut Vec<u8>, now: Micros) {
         if self.alive(link).is_none() {
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -202,8 +202,13 @@
         nothing_owed.then_some(standing)
     }
 
+    /// Whether it is not to be read on. Not behind an answer that passes on as it comes either: if that breaks the connection ends,
+    /// and whatever came of a request behind it would be lost.
     fn full(&self) -> bool {
-        self.slots.len() >= MOST_WAITING || self.ready + self.out.len() - self.written >= MOST_UNREAD
+        let passing = matches!(self.slots.front(), Some(Slot::Passing(_)));
+        passing
+            || self.slots.len() >= MOST_WAITING
+            || self.ready + self.out.len() - self.written >= MOST_UNREAD
     }
 
     /// Brings up to date what it holds, in the sum as well.
@@ -835,6 +840,16 @@
         }
     }
 
+    /// Whether others are owed an answer on the connection that this one belongs to.
+    pub fn shares(&self, origin: Origin) -> bool {
+        self.conns.get(origin.key).is_some_and(|c| c.serial == origin.serial && c.slots.len() > 1)
+    }
+
+    /// Bytes of answers for which there is room: what is left of half of what connections may hold.
+    pub fn spare(&self) -> usize {
+        (self.memory / 2).saturating_sub(self.held)
+    }
+
     /// Where an answer that passes on as it comes is written to, if there is room for more of it now; else the client is
     /// `hungry` once there is. None as well where the client has gone.
     pub fn passing(&mut self, origin: Origin) -> Option<&mut Vec<u8>> {
@@ -862,9 +877,13 @@
     }
 
     /// An answer that had begun to pass on can't be finished: its connection ends, so that the client can tell. What stood
-    /// before it has been written, as far as the client read it.
-    pub fn cut(&mut self, origin: Origin) {
+    /// before it has been written, as far as the client read it. Where others stand before it none of it has been written, and its
+    /// answer is `text`.
+    pub fn cut(&mut self, origin: Origin, text: &[u8]) {
         if let Some(c) = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial) {
+            if origin.slot > c.first {
+                return self.answer(origin, text);
+            }
             let _ = c.stream.write(&c.out[c.written..]);
             self.remove(origin.key);
         }
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -67,6 +67,8 @@
 const ACCEPT_AGAIN: Micros = 10_000;
 /// What an answer may take on its way to the client, besides two ticks.
 const ON_THE_WAY: Micros = 2_000;
+/// The answer to a request that has failed.
+const FAILED: &[u8] = b"-ERR failed\r\n";
 
 /// The ingress.
 pub struct Ingress<V> {
@@ -930,14 +932,19 @@
         if open.over || open.passing.is_some_and(|first| first != attempt) {
             return self.abandon(id, attempt, None, |_| Outcome::Cancelled); // another one was first
         }
+        let origin = open.origin;
         if open.passing.is_none() {
+            // Once some of it has passed on, only the end of the connection can tell that it broke; where that is owed to others,
+            // it is read whole first.
+            if self.clients.shares(origin) && self.backends.hold(link, self.clients.spare(), now) {
+                return;
+            }
             open.passing = Some(attempt);
             if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
                 a.took = Some(now.saturating_sub(began));
             }
             self.events.push_back(Event::FirstByte { id, attempt });
         }
-        let origin = open.origin;
         if let Some(out) = self.clients.passing(origin) {
             self.backends.pull(link, out, now);
             self.clients.passed(origin);
@@ -1030,7 +1037,7 @@
             open.over = true;
             self.ledger.ended(open.call.request.class, End::Failed);
             self.tallies.ended(open, End::Failed, self.now, &self.gateway);
-            self.clients.cut(open.origin);
+            self.clients.cut(open.origin, FAILED);
         }
     }
 
@@ -1038,7 +1045,7 @@
         if self.requests.get(id).is_some_and(|o| o.passing.is_some()) {
             return self.cut(id);
         }
-        self.answer(id, b"-ERR failed\r\n", End::Failed);
+        self.answer(id, FAILED, End::Failed);
     }
 
     /// Forgets a request that is over once nothing is out of it. What is not written whole by then is called off here, also
--- a/crates/ingress/tests/long.rs
+++ b/crates/ingress/tests/long.rs
@@ -160,6 +160,58 @@
     assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "-ERR failed");
 }
 
+/// A backend whose answers to `l…` stop in the middle, until it hangs up, and to `w…` pause there.
+fn breaking() -> Backend {
+    Backend::start(|args| match &args[2][..1] {
+        "l" => Act::Parts(150_000, Duration::ZERO, long(args, 200_000)[..150_000].to_vec()),
+        "w" => Act::Parts(100_000, Duration::from_millis(300), long(args, 200_000)),
+        _ => serve(args),
+    })
+}
+
+/// Guards against an answer that breaks in the middle and takes with it what others on its connection are owed.
+#[test]
+fn what_breaks_in_the_middle_takes_no_other_answer_with_it() {
+    let backend = breaking();
+    let ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    client.send(&["q1", "l2", "q3"].map(|id| call("refer", id, 5000)).concat());
+    until("all are with the backend", || backend.count() == 3);
+    backend.seen.hang_up.store(true, Ordering::SeqCst);
+    assert_eq!(["q1", "l2", "q3"].map(|_| client.answer()), ["value of q1", "-ERR failed", "value of q3"]);
+    backend.seen.hang_up.store(false, Ordering::SeqCst);
+    // A sound one among others comes whole, and one that would be late has failed in time.
+    client.send(&["q4", "w5", "q6"].map(|id| call("refer", id, 5000)).concat());
+    assert_eq!(client.answer(), "value of q4");
+    assert!(client.answer() == value("w5", 200_000));
+    assert_eq!(client.answer(), "value of q6");
+    client.send(&["q7", "l8", "q9"].map(|id| call("refer", id, 900)).concat());
+    assert_eq!(["q7", "l8", "q9"].map(|_| client.answer()), ["value of q7", "-ERR failed", "value of q9"]);
+}
+
+/// Guards against a request that is read behind an answer which passes on as it comes: if that breaks, its connection ends, and
+/// whatever came of the request would be lost. Unread, it is one that its client sends again.
+#[test]
+fn nothing_is_read_behind_an_answer_that_passes_on() {
+    let backend = breaking();
+    let ingress = setup(&[&backend]).start();
+    let begun = |client: &Client| client.0.peek(&mut [0]).is_ok_and(|n| n > 0);
+    let mut client = ingress.client();
+    client.send(&call("refer", "w1", 5000));
+    until("it has begun", || begun(&client));
+    client.send(&call("refer", "q2", 5000));
+    assert!(client.answer() == value("w1", 200_000));
+    assert_eq!(client.answer(), "value of q2");
+    client.send(&call("refer", "l3", 5000));
+    until("it has begun", || begun(&client));
+    client.send(&call("refer", "q4", 5000));
+    (0..2).for_each(|_| assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG"));
+    backend.seen.hang_up.store(true, Ordering::SeqCst);
+    let (had, ended) = read_some(&mut client.0, LONGEST);
+    assert!(ended && had < 200_000, "{had}");
+    assert_eq!(backend.count(), 3, "what came behind it was sent on");
+}
+
 /// Guards against a backend that goes on for a client that has left, and against one that stands still for ever.
 #[test]
 fn a_client_that_leaves_and_a_backend_that_stands_still_are_given_up() {
