--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -738,6 +738,13 @@
         }
     }
 
+    /// Ends a connection that is of no more use, and the work on it with what that means for it.
+    fn breaks(&mut self, key: usize, now: Micros) {
+        let outcome = self.conns[key].broken();
+        self.end(key, outcome, Vec::new(), None, now);
+        self.remove(key);
+    }
+
     /// Writes to a connection that has just come up: an attempt's command tells how long is left, and that is less by now.
     fn write_up(&mut self, key: usize, now: Micros) {
         let conn = &self.conns[key];
@@ -869,11 +876,7 @@
                 (conn.paused, conn.heard) = (false, now);
                 self.again.push(link);
             }
-            Err(_) => {
-                let outcome = conn.broken();
-                self.end(link.key, outcome, Vec::new(), None, now);
-                self.remove(link.key);
-            }
+            Err(_) => self.breaks(link.key, now),
         }
         true
     }
@@ -900,11 +903,7 @@
                     self.remove(link.key);
                 }
             }
-            Err(_) => {
-                let outcome = conn.broken();
-                self.end(link.key, outcome, Vec::new(), None, now);
-                self.remove(link.key);
-            }
+            Err(_) => self.breaks(link.key, now),
         }
     }
 
@@ -954,16 +953,12 @@
                     if self.still_races(key, now) {
                         return;
                     }
-                    let outcome = self.conns[key].broken();
-                    self.end(key, outcome, Vec::new(), None, now);
-                    return self.remove(key);
+                    return self.breaks(key, now);
                 }
             }
         }
         // No answer is that long, and a backend that sends without end is not waited for.
-        let outcome = self.conns[key].broken();
-        self.end(key, outcome, Vec::new(), None, now);
-        self.remove(key);
+        self.breaks(key, now);
     }
 
     /// Looks whether the answer is whole; false if the connection is of no more use.
@@ -1051,11 +1046,7 @@
             None => !c.buf.is_empty() && now > c.heard + PATIENCE,
         };
         let stuck: Vec<usize> = self.conns.iter().filter(|(_, c)| stuck(c)).map(|(key, _)| key).collect();
-        for key in stuck {
-            let outcome = self.conns[key].broken();
-            self.end(key, outcome, Vec::new(), None, now);
-            self.remove(key);
-        }
+        stuck.into_iter().for_each(|key| self.breaks(key, now));
     }
 
     /// Evicts the connection that has been idle for longest, to make room; false if none is idle.
