Nobody is evicted for a client that has not come, and a surplus one is told so for all it asked

Two faults where the descriptors are used up, read in the code and provoked. `Clients::accept` made room before it knew that anybody waited, and looked once more than clients came: at the limit each arrival evicted two connections, and the one that took the last place was itself closed unheard if all others were owed something. And of what a client asked at once on a connection beyond the limit, only the first request was told -BUSY: the others had been read and were dropped.

Now a client is accepted first, where there may be a place or a word for it, and room is made once it is there (the descriptors kept aside have room for that one); on a surplus connection every request that was read is refused, and the connection half-closed behind them.

Test: beyond_the_descriptors_all_that_is_asked_at_once_is_refused.

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -1049,6 +1049,11 @@
         stuck.into_iter().for_each(|key| self.breaks(key, now));
     }
 
+    /// Whether any connection is idle.
+    pub fn any_idle(&self) -> bool {
+        self.pools.values().any(|p| !p.idle.is_empty())
+    }
+
     /// Evicts the connection that has been idle for longest, to make room; false if none is idle.
     pub fn evict_oldest(&mut self) -> bool {
         let idle = self.conns.iter().filter(|(_, c)| c.work.is_none());
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -256,7 +256,6 @@
     Free,
     /// Only to say that there is none.
     Surplus,
-    None,
 }
 
 /// What accepting came to.
@@ -429,21 +428,25 @@
         }
     }
 
-    /// Accepts what waits, for as long as `room` finds a place for one more.
+    /// Accepts what waits, for as long as there `may` be a place for one more; `room` makes it once one has come: nobody is evicted
+    /// for one that does not come.
     pub fn accept(
         &mut self,
         registry: &Registry,
         now: Micros,
+        may: impl Fn(&Self) -> bool,
         mut room: impl FnMut(&mut Self) -> Room,
     ) -> Accepted {
         for _ in 0..ACCEPTS_A_TURN {
-            let room = room(self);
-            if room == Room::None {
+            if !may(self) {
                 return Accepted::NoRoom;
             }
             let Some(listener) = &self.listener else { return Accepted::All };
             match listener.accept() {
-                Ok(stream) => self.add(stream, registry, now, room == Room::Surplus),
+                Ok(stream) => {
+                    let room = room(self);
+                    self.add(stream, registry, now, room == Room::Surplus);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
                 // One that was gone before it was accepted, or may not connect.
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
@@ -679,7 +682,7 @@
 
     fn take_whole(&mut self, key: usize, now: Micros) -> bool {
         let c = &mut self.conns[key];
-        let mut at = 0;
+        let (mut at, mut refused) = (0, false);
         while !c.closing && !c.full() && at < c.buf.len() {
             let slots = c.slots.len() as u64;
             match resp::command(&c.buf[at..], &mut self.args) {
@@ -707,8 +710,7 @@
                         Some(Ok(call)) if c.surplus => {
                             self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
                             c.answer_now(b"-BUSY\r\n");
-                            c.closing = true;
-                            at = c.buf.len();
+                            refused = true;
                         }
                         Some(Ok(call)) if self.ending => {
                             self.incoming.push_back(Incoming::Ended(call.request.class, End::Refused));
@@ -791,6 +793,8 @@
                 self.dirty.push(key);
             }
         }
+        // Told so with all that it asked at once.
+        c.closing |= refused;
         if c.closing {
             at = c.buf.len(); // what follows the last thing that is answered is not looked at
         }
@@ -988,6 +992,13 @@
         self.lines.oldest(kind, |key, serial| standing(conns, key, serial))
     }
 
+    /// Whether some connection has nothing owed to it.
+    pub fn evictable(&self) -> bool {
+        [Kind::HalfClosed, Kind::Silent, Kind::Half, Kind::Idle]
+            .into_iter()
+            .any(|kind| self.lines.count(kind) > 0)
+    }
+
     /// Evicts a connection that nothing is owed to, to make room; false if there is none.
     pub fn evict_oldest(&mut self, now: Micros) -> bool {
         if let Some((key, _)) = self.oldest(Kind::HalfClosed) {
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -732,8 +732,10 @@
 
     fn accept(&mut self) {
         let (budget, backends, now) = (self.budget, &mut self.backends, self.now);
+        let (count, idle) = (backends.len(), backends.any_idle());
+        let may = |clients: &Clients| budget.accepts(clients, count, idle);
         let room = |clients: &mut Clients| budget.client(clients, backends, now);
-        match self.clients.accept(self.poll.registry(), self.now, room) {
+        match self.clients.accept(self.poll.registry(), self.now, may, room) {
             Accepted::All => {}
             Accepted::More => self.accept_more = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -55,16 +55,22 @@
         backends.len() < self.share() && !self.spent(clients, backends)
     }
 
-    /// Whether one more client may come in, if need be in place of an idle connection.
+    /// Whether one more client may come in beside so many connections to backends, some of which may be idle, or be told that it
+    /// can't.
+    pub fn accepts(self, clients: &Clients, backends: usize, idle: bool) -> bool {
+        let (share, len) = (self.share(), clients.len());
+        let full = len >= share || len + backends >= self.shared;
+        !full || clients.evictable() || (idle && len < share) || clients.surplus() < MOST_SURPLUS
+    }
+
+    /// Makes room for a client that has come, if need be in place of an idle connection.
     pub fn client(self, clients: &mut Clients, backends: &mut Backends, now: Micros) -> Room {
         clients.evict_spare(self.idle, now);
         let full = clients.len() >= self.share() || self.spent(clients, backends);
         if !full || clients.evict_oldest(now) || (clients.len() < self.share() && backends.evict_oldest()) {
             Room::Free
-        } else if clients.surplus() < MOST_SURPLUS {
-            Room::Surplus
         } else {
-            Room::None
+            Room::Surplus
         }
     }
 
--- a/crates/ingress/tests/endings.rs
+++ b/crates/ingress/tests/endings.rs
@@ -154,6 +154,27 @@
     assert_eq!(client.answer(), "value of r1");
 }
 
+/// Guards against requests that are dropped behind the first one where a connection was taken in beyond the descriptors, only to be
+/// told so: what is read has an answer, also what was asked in the same moment.
+#[test]
+fn beyond_the_descriptors_all_that_is_asked_at_once_is_refused() {
+    let backend = Backend::start(serve);
+    let setup = Setup { sockets: 64, ..Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &[&backend]) };
+    let ingress = setup.start();
+    // As many as clients may have of 64 descriptors, each told of a bad command, and left to read that: none makes room meanwhile.
+    let mut full: Vec<Client> = (0..27).map(|_| ingress.client()).collect();
+    for client in &mut full {
+        client.send(b"*1\r\n$60000000\r\n");
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR protocol error"), "{answer}");
+    }
+    let mut line = ingress.client();
+    line.send(&["r1", "r2", "r3"].map(|id| call("refer", id, 5000)).concat());
+    assert_eq!(["r1", "r2", "r3"].map(|_| line.answer()), ["-BUSY"; 3]);
+    assert!(line.ended());
+    assert_eq!(backend.count(), 0);
+}
+
 // ---- Connections that come up late ----
 
 /// Guards against a command that tells its backend more time than its client has left: it was made out when the connect began.
