A call for the whole list has as long as a watch before it counts as silent

Cause, from a log of each call: behind SIGHUP the new discovery is asked for its whole list; three ingresses had their answer 0.85 to 0.88 s later, three gave the call up after 1.0 s ("no answer in time"), called again and gave that up, seven times from 14.3 to 22 s, and heard of the drains never (`Watch::write`, the patience without an index).

Now any call has 3 s, as one that waits for news: the worst case of hearing of a change stays at 4.5 s and the answer's way, as it was for a watch. What is given up for it: a service that swallows the first call behind SIGHUP without a word is noticed 2 s later.

Test: a_call_for_the_whole_list_has_as_long_as_a_watch (without it the call is given up before 3 s).

--- a/crates/ingress/src/discovery.rs
+++ b/crates/ingress/src/discovery.rs
@@ -226,8 +226,9 @@
             match stream.write(&self.out) {
                 Ok(n) => {
                     self.out.drain(..n);
-                    // A call for the whole list does not wait for news.
-                    self.wake_at = now + PATIENCE + if self.index.is_some() { WAIT } else { 0 };
+                    // A call for the whole list waits for no news, but one that is given up sooner than the service answers is
+                    // answered never.
+                    self.wake_at = now + PATIENCE + WAIT;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // Not connected yet, or no room: the socket will show as writable.
--- a/crates/ingress/src/discovery/tests.rs
+++ b/crates/ingress/src/discovery/tests.rs
@@ -105,3 +105,30 @@
         (vec![2], false)
     );
 }
+
+/// Guards against a call for the whole list that is given up sooner than the service answers it, over and over: behind SIGHUP, say. It
+/// has as long as one that waits for news, and no longer.
+#[test]
+fn a_call_for_the_whole_list_has_as_long_as_a_watch() {
+    let (listener, next) =
+        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let mut poll = Poll::new().unwrap();
+    let mut watch = Watch::new(listener.local_addr().unwrap(), sites(), 7, Token(1), 7);
+    watch.move_to(next.local_addr().unwrap(), 0);
+    for answered in [true, false] {
+        let from = watch.wake_at;
+        assert!(!watch.wake(from, poll.registry()));
+        let (mut stream, _) = next.accept().unwrap();
+        hears(&mut watch, &mut poll, from, |w| w.out.is_empty());
+        assert!(!watch.wake(from + WAIT + PATIENCE - 1, poll.registry()), "it is given up");
+        if answered {
+            let body = r#"{"index":1,"snapshot":true,"endpoints":[]}"#;
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+            let heard = |w: &Watch| w.index == Some(1);
+            assert_eq!(hears(&mut watch, &mut poll, from + WAIT + PATIENCE - 1, heard), (vec![1], false));
+            watch.move_to(next.local_addr().unwrap(), from + WAIT + PATIENCE);
+        } else {
+            assert!(watch.wake(from + WAIT + PATIENCE, poll.registry()), "it waits for ever");
+        }
+    }
+}
