--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -340,7 +340,7 @@
         except CouldNotRun as error:
             record.add(f"could not run: {error}")
             print(f"could not run: {error}")
-        except (OSError, asyncio.TimeoutError) as error:
+        except Exception as error:  # an error of the script says nothing about the rule
             record.add(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
     text = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}[verdict]
