An idle connection has no command: no panic when its backend closes it

Cause: after the answer to a command with a long body, reuse dropped the body and kept the number of bytes written, so an idle connection counted as one with a command to write. A close by the backend made it write from an offset past the end of the buffer. Evidence: panic 'range start index 102562 out of range for slice of length 151', the lengths of the command with and without its body.

Change: OutgoingCommand holds the command, its body and the bytes written, and is cleared as a whole; a writable event leads to a write only on a connection in use.

The two new tests fail without the fix (no answer after the close; two connections opened instead of one after a handover) and pass with it.

--- a/crates/ingress/src/backend.rs
+++ b/crates/ingress/src/backend.rs
@@ -5,6 +5,7 @@
 //! health checks are reported to the event loop through [`Backends::ended`].
 
 mod activity;
+mod command;
 mod connecting;
 mod connection;
 mod ending;
--- a/crates/ingress/src/backend/connection.rs
+++ b/crates/ingress/src/backend/connection.rs
@@ -1,11 +1,11 @@
 //! State of one connection to a backend.
 
 use super::activity::{Activity, ConnectionHandle};
+use super::command::OutgoingCommand;
 use crate::stream::Stream;
 use serde::{Deserialize, Serialize};
 use wrenfork_decision::{BackendId, Micros, Outcome};
 use wrenfork_happy_eyeballs::{Address, ConnectionRace};
-use wrenfork_wire::call::Body;
 use wrenfork_wire::long::LongAnswer;
 
 /// A connection to a backend. During a handover it is serialized without its stream (`S = ()`). The field order is part of the
@@ -38,12 +38,8 @@
     pub(super) deadline: Micros,
     /// When the answer began to arrive; for a streamed answer, when it last made progress.
     pub(super) answer_since: Micros,
-    /// The command, without a long body.
-    pub(super) out: Vec<u8>,
-    /// A long body, written after `out`.
-    pub(super) body: Option<Body>,
-    /// Number of bytes of `out` and `body` that are written to the socket.
-    pub(super) written: usize,
+    /// The command of the current activity; empty while the connection is idle.
+    pub(super) command: OutgoingCommand,
     /// Received part of the answer.
     pub(super) buf: Vec<u8>,
     /// State of a streamed answer; none for an answer that is buffered as a whole.
@@ -83,9 +79,7 @@
             write_deadline: 0,
             deadline: 0,
             answer_since: 0,
-            out: Vec::new(),
-            body: None,
-            written: 0,
+            command: OutgoingCommand::default(),
             buf: Vec::new(),
             long_answer: None,
             paused: false,
@@ -94,7 +88,7 @@
 
     /// Whether the command is written completely, so that the backend may have started it.
     pub(super) fn is_sent(&self) -> bool {
-        self.written == self.out.len() + self.body.as_ref().map_or(0, |body| body.len())
+        self.command.is_written()
     }
 
     /// Outcome of the attempt or health check if the connection breaks now.
@@ -106,6 +100,11 @@
         }
     }
 
+    /// Whether the connection has a command that is not written completely. An idle connection has none.
+    pub(super) fn has_unsent_command(&self) -> bool {
+        self.activity.is_some() && !self.is_sent()
+    }
+
     /// Whether the connection carries an attempt whose command is not written completely.
     pub(super) fn is_unsent_attempt(&self) -> bool {
         self.activity.is_some_and(Activity::is_attempt) && !self.is_sent()
--- a/crates/ingress/src/backend/reading.rs
+++ b/crates/ingress/src/backend/reading.rs
@@ -48,7 +48,7 @@
             }
             self.mark_established(key);
             self.write_established(key, now);
-        } else if writable && !conn.is_sent() {
+        } else if writable && conn.has_unsent_command() {
             self.write(key, now);
         }
         // The connection may have become established after `is_connected` was checked, in which case the write has succeeded.
@@ -176,9 +176,8 @@
         conn.activity = None;
         conn.since = now;
         conn.buf.clear();
-        conn.body = None;
         conn.buf.shrink_to(READ_BUFFER_BYTES);
-        conn.out.shrink_to(READ_BUFFER_BYTES);
+        conn.command.clear();
         pool.idle.push(key);
         Reuse::Keep
     }
--- a/crates/ingress/src/backend/starting.rs
+++ b/crates/ingress/src/backend/starting.rs
@@ -51,11 +51,9 @@
         let conn = &mut self.connections[key];
         conn.activity = Some(activity);
         conn.since = times.now;
-        conn.written = 0;
         conn.write_deadline = times.write_deadline;
         conn.deadline = times.deadline;
-        conn.out.clear();
-        conn.body = write_command(&mut conn.out);
+        conn.command.replace(write_command);
         let connection = self.handle(key);
         let conn = &self.connections[key];
         if conn.race.is_none() {
--- a/crates/ingress/src/backend/tests.rs
+++ b/crates/ingress/src/backend/tests.rs
@@ -1,6 +1,7 @@
 //! Sample backend connections for tests of the handover format, with every field and variant in use.
 
 use super::activity::{Activity, ConnectionHandle};
+use super::command::OutgoingCommand;
 use super::connection::Connection;
 use super::handover::SavedBackends;
 use super::pool::Pool;
@@ -38,9 +39,11 @@
     let begun = LongAnswer::start(b"*3\r\n$70000\r\nabc").unwrap();
     let attempt = Connection {
         idle_before: Some(1_000_012),
-        out: b"*5\r\n$9\r\nCALL.POST\r\n".to_vec(),
-        body: Some(Body::new(b"0123456789".to_vec(), 2..9)),
-        written: 21,
+        command: OutgoingCommand {
+            head: b"*5\r\n$9\r\nCALL.POST\r\n".to_vec(),
+            body: Some(Body::new(b"0123456789".to_vec(), 2..9)),
+            written: 21,
+        },
         buf: b"$70000\r\nabc".to_vec(),
         long_answer: Some(begun.answer),
         paused: true,
--- a/crates/ingress/src/backend/writing.rs
+++ b/crates/ingress/src/backend/writing.rs
@@ -4,7 +4,7 @@
 use super::connection::Connection;
 use super::Backends;
 use crate::stream::is_not_ready;
-use std::io::{self, ErrorKind, Write};
+use std::io::{ErrorKind, Write};
 use wrenfork_decision::{Micros, Outcome, RequestId};
 
 /// An attempt whose connection was established after the attempt began. Its command is generated again, because it carries the
@@ -19,15 +19,6 @@
     pub deadline: Micros,
 }
 
-/// Writes the next part of a connection's command, and returns the number of bytes written.
-fn write_rest(conn: &mut Connection) -> io::Result<usize> {
-    let rest = match (&conn.body, conn.written.checked_sub(conn.out.len())) {
-        (Some(body), Some(body_offset)) => &body.bytes()[body_offset..],
-        _ => &conn.out[conn.written..],
-    };
-    conn.stream.write(rest)
-}
-
 impl Backends {
     /// Handles a connection that has just been established. An attempt is queued for its command to be generated again; a health
     /// check is written at once.
@@ -65,10 +56,7 @@
         write_command: impl FnOnce(&mut Vec<u8>),
     ) {
         let conn = &mut self.connections[connection.key];
-        if conn.written == 0 {
-            conn.out.clear();
-            write_command(&mut conn.out);
-        }
+        conn.command.replace_head(write_command);
         self.write(connection.key, now);
     }
 
@@ -78,9 +66,9 @@
             if now > conn.write_deadline {
                 return self.end_unsent(key);
             }
-            match write_rest(conn) {
+            match conn.stream.write(conn.command.rest()) {
                 Ok(n) => {
-                    conn.written += n;
+                    conn.command.written += n;
                     conn.established = true;
                     let is_attempt = conn.activity.is_some_and(Activity::is_attempt);
                     self.relayed += u64::from(is_attempt && conn.is_sent());
--- a/crates/ingress/tests/handover/main.rs
+++ b/crates/ingress/tests/handover/main.rs
@@ -452,3 +452,26 @@
         );
     }
 }
+
+/// Guards against a connection that is idle after a command with a long body and counts as one with a command to write: the
+/// next process closed each of them and had to connect again.
+#[test]
+fn a_connection_that_carried_a_long_body_is_reused_in_the_next_process() {
+    let backend = Backend::start(serve);
+    let platform = Platform::new(&[&backend]);
+    let mut first = platform.start();
+    let mut client = Client::connect(platform.at);
+    let body = "b".repeat(100_000);
+    let options = "c=refer,t=starter,d=5000,units=1,spread=1,first=0";
+    let post = command(&["CALL.POST", "00000000000000b1", "b1", options, &body]);
+    assert_eq!(client.ask(&post), "value of b1");
+    let second = platform.start();
+    assert!(first.ended().contains("handed over"));
+    assert_eq!(client.ask(&call("refer", "n1", 2000)), "value of n1");
+    assert_eq!(
+        backend.seen.opened.load(Ordering::SeqCst),
+        1,
+        "the connection was not reused"
+    );
+    assert_eq!(second.figure("ingress.open_requests"), 0);
+}
--- a/crates/ingress/tests/long.rs
+++ b/crates/ingress/tests/long.rs
@@ -453,6 +453,46 @@
     }
 }
 
+/// Guards against a panic when a backend ends a connection, or sends a second answer, while the connection is idle after a
+/// command with a long body: the process ended, and every request that it had admitted was lost.
+#[test]
+fn a_connection_that_carried_a_long_body_may_end_while_idle() {
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "t" => {
+            let answer = served(args);
+            let twice = [&answer[..], &answer[..]].concat();
+            Act::Parts(answer.len(), Duration::from_millis(20), twice)
+        }
+        "l" => Act::Say(long_answer(args, 200_000)),
+        _ => serve(args),
+    });
+    let mut ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    for (id, expected) in [
+        ("b1", "value of b1".to_string()),
+        ("l2", value("l2", 200_000)),
+        ("t3", "value of t3".to_string()),
+    ] {
+        assert!(client.ask(&post("refer", id, &value(id, 100_000))) == expected);
+        // Within the deadline of the request, when its connection still counted as one with a command to write.
+        backend.seen.hang_up.store(true, Ordering::SeqCst);
+        until("the backend ends its connection", || {
+            backend.seen.ended.load(Ordering::SeqCst) == backend.seen.opened.load(Ordering::SeqCst)
+        });
+        backend.seen.hang_up.store(false, Ordering::SeqCst);
+        let next = format!("n{id}");
+        assert_eq!(
+            client.ask(&call("refer", &next, 2000)),
+            format!("value of {next}"),
+            "after {id}; the process: {:?}",
+            ingress.child.try_wait()
+        );
+    }
+    ingress.signal("TERM");
+    drop(client);
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
 /// Guards against a body that exceeds the memory, or that never completes, blocking other requests for ever.
 #[test]
 fn a_body_too_long_or_too_late_is_refused() {
