Shutdown logs which requests are open at its end and which lost their answers

Change: a warning with the number of requests still open when the remaining ones are failed, by whether their answer has arrived; and at the exit the number of requests whose connection this process closed, by reason, with the bytes of answers that were not written.

--- a/crates/ingress/src/backend/streaming.rs
+++ b/crates/ingress/src/backend/streaming.rs
@@ -36,6 +36,15 @@
         self.get(handle).is_some_and(|conn| conn.paused)
     }
 
+    /// Whether the rest of a streamed answer has arrived completely and is valid.
+    pub fn has_complete_answer(&self, handle: ConnectionHandle) -> bool {
+        let Some(conn) = self.get(handle) else {
+            return false;
+        };
+        let long_answer = conn.long_answer.as_ref();
+        long_answer.is_some_and(|answer| answer.is_complete(&conn.buf) == Ok(true))
+    }
+
     /// Buffers an answer up to its end instead of forwarding it, provided that all buffered answers together stay within `memory`
     /// bytes. Returns false if the answer must be forwarded now because it is complete or does not fit.
     pub fn hold_back(&mut self, handle: ConnectionHandle, memory: usize, now: Micros) -> bool {
--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod eviction;
 mod handover;
+mod lost_answers;
 mod memory;
 mod reading;
 
@@ -26,6 +27,7 @@
 use crate::request_metrics::RequestEnd;
 use crate::stream::Listener;
 use eviction::EvictionQueues;
+use lost_answers::LostAnswers;
 use mio::Token;
 use slab::Slab;
 use std::collections::VecDeque;
@@ -91,6 +93,8 @@
     pub events: VecDeque<ClientEvent>,
     /// Requests whose streamed answers have room for more data.
     pub writable: Vec<RequestId>,
+    /// Requests that lost their answers because this process closed their connection.
+    pub lost_answers: LostAnswers,
     /// Bytes of memory granted to long request bodies that are being read.
     granted: usize,
     /// Connections waiting for a memory grant, first come first.
@@ -129,6 +133,7 @@
             max_memory,
             events: VecDeque::new(),
             writable: Vec::new(),
+            lost_answers: LostAnswers::default(),
             granted: 0,
             grant_queue: VecDeque::new(),
         }
@@ -158,6 +163,15 @@
         self.connections.iter().any(|(_, conn)| busy(conn))
     }
 
+    /// Number of bytes of answers that are not written to their clients' sockets.
+    pub fn unwritten_bytes(&self) -> usize {
+        let unwritten = |conn: &ClientConnection| conn.ready_bytes + conn.out.len() - conn.written;
+        self.connections
+            .iter()
+            .map(|(_, conn)| unwritten(conn))
+            .sum()
+    }
+
     /// Whether there is work to do without waiting for a readiness event.
     pub fn has_more(&self) -> bool {
         !(self.read_queue.is_empty() && self.write_queue.is_empty() && self.events.is_empty())
--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -1,6 +1,7 @@
 //! Writing answers to clients in the order of their requests.
 
 use super::connection::{AnswerSlot, Origin};
+use super::lost_answers::CloseReason;
 use super::Clients;
 use std::io::{ErrorKind, Write};
 use wrenfork_decision::Micros;
@@ -104,7 +105,7 @@
             return self.answer(origin, text);
         }
         let _ = conn.stream.write(&conn.out[conn.written..]);
-        self.remove(origin.key);
+        self.close_with_answers(origin.key, CloseReason::BrokenStream);
     }
 
     /// Writes the pending output of all queued connections. Batches the answers that a connection gets in a turn into one write.
--- a/crates/ingress/src/client/closing.rs
+++ b/crates/ingress/src/client/closing.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{AnswerSlot, ClientConnection};
 use super::eviction::{ConnectionId, IdleKind, IdleState, OldestConnection};
+use super::lost_answers::CloseReason;
 use super::reading::LINGER_TIMEOUT;
 use super::{ClientEvent, Clients};
 use slab::Slab;
@@ -167,6 +168,12 @@
         }
     }
 
+    /// Closes a connection on which answers may be due, and counts these as lost.
+    pub(super) fn close_with_answers(&mut self, key: usize, reason: CloseReason) {
+        self.lost_answers.record(reason, &self.connections[key]);
+        self.remove(key);
+    }
+
     /// Closes a connection and reports its unanswered requests as disconnected.
     pub(super) fn remove(&mut self, key: usize) {
         let conn = self.connections.remove(key); // dropping the stream closes it and deregisters it from the poll
@@ -198,7 +205,7 @@
         let is_unread =
             |conn: &ClientConnection| !conn.out.is_empty() && now > conn.since + UNREAD_TIMEOUT;
         for key in self.keys_where(is_unread) {
-            self.remove(key);
+            self.close_with_answers(key, CloseReason::Unread);
         }
         for key in late_commands {
             self.close_late_connection(key, now);
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -3,6 +3,7 @@
 
 use super::connection::ClientConnection;
 use super::eviction::ConnectionId;
+use super::lost_answers::CloseReason;
 use super::Clients;
 use wrenfork_decision::Micros;
 use wrenfork_wire::resp;
@@ -27,7 +28,7 @@
                 return;
             };
             if conn.buf.is_empty() {
-                self.remove(key);
+                self.close_with_answers(key, CloseReason::Memory);
                 continue;
             }
             conn.abort_command("no memory for the rest of a command");
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -205,6 +205,13 @@
         if let Some(socket) = &self.socket {
             socket.remove();
         }
-        tracing::info!("stopped");
+        let lost = self.clients.lost_answers;
+        tracing::info!(
+            broken_stream = lost.broken_stream,
+            memory = lost.memory,
+            unread = lost.unread,
+            unwritten_bytes = self.clients.unwritten_bytes(),
+            "stopped; requests without an answer by reason, and bytes of answers not written"
+        );
     }
 }
--- a/crates/ingress/src/ingress/streaming.rs
+++ b/crates/ingress/src/ingress/streaming.rs
@@ -65,8 +65,6 @@
 
     /// The connection of the attempt whose answer is being streamed.
     fn streaming_connection(&self, id: RequestId) -> Option<ConnectionHandle> {
-        let open = self.requests.get(id)?;
-        let attempt = open.attempts.get(usize::from(open.streaming?))?;
-        attempt.connection
+        self.requests.get(id)?.streaming_connection()
     }
 }
--- a/crates/ingress/src/ingress/timeouts.rs
+++ b/crates/ingress/src/ingress/timeouts.rs
@@ -2,6 +2,7 @@
 
 use super::{Ingress, SWEEP_INTERVAL};
 use crate::backend::ConnectionHandle;
+use crate::requests::OpenRequest;
 use crate::timers::Due;
 use crate::variant::Variant;
 use wrenfork_decision::{BackendId, Event, Micros, Outcome, RequestId};
@@ -106,6 +107,30 @@
         }
     }
 
+    /// Logs how many requests are still open at the end of a shutdown, and whether their answers have arrived.
+    fn log_open_requests(&self) {
+        let open = self.requests.incomplete_requests();
+        let (streaming, waiting): (Vec<_>, Vec<_>) =
+            open.partition(|open| open.streaming.is_some());
+        let has_complete_answer = |open: &&OpenRequest| {
+            let connection = open.streaming_connection();
+            connection.is_some_and(|handle| self.backends.has_complete_answer(handle))
+        };
+        let complete = streaming
+            .iter()
+            .copied()
+            .filter(has_complete_answer)
+            .count();
+        if !(streaming.is_empty() && waiting.is_empty()) {
+            tracing::warn!(
+                without_answer = waiting.len(),
+                with_complete_answer = complete,
+                with_partial_answer = streaming.len() - complete,
+                "stopping: requests still open at the end"
+            );
+        }
+    }
+
     fn sweep(&mut self) {
         let now = self.now;
         self.backends.sweep(now);
@@ -132,6 +157,7 @@
 
     fn fail_open_requests(&mut self) {
         self.clients.reject_all();
+        self.log_open_requests();
         for id in self.requests.ids() {
             self.handle_client_deadline(id);
         }
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -72,6 +72,12 @@
             .saturating_sub(self.call.wait.min(MAX_WAIT))
     }
 
+    /// The connection of the attempt whose answer is being streamed.
+    pub fn streaming_connection(&self) -> Option<ConnectionHandle> {
+        let attempt = self.attempts.get(usize::from(self.streaming?))?;
+        attempt.connection
+    }
+
     /// Whether any attempt is in flight.
     fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(|a| a.connection.is_some())
@@ -202,9 +208,14 @@
         self.open.get_mut(&id).filter(|o| !o.complete)
     }
 
+    /// The requests that still owe an answer.
+    pub fn incomplete_requests(&self) -> impl Iterator<Item = &OpenRequest> {
+        self.open.values().filter(|o| !o.complete)
+    }
+
     /// Number of requests that still owe an answer.
     pub fn incomplete_count(&self) -> usize {
-        self.open.values().filter(|o| !o.complete).count()
+        self.incomplete_requests().count()
     }
 
     /// Whether any request still owes an answer.
