A shutdown waits for clients that go on reading, until shortly before SIGKILL

Cause: once all requests were complete, the process left 2 s after the end of accepting, however much of the answers was still to be written. Evidence: 'stopped' reported unwritten_bytes of 0.87 to 1.40 MB at 2.6 s, with no connection closed.

Change: the 2 s count from the last progress of a client that has answers to read; the latest time of the exit is as before.

--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -157,10 +157,12 @@
         self.surplus
     }
 
-    /// Whether any connection has a request without an answer, or an answer that is not fully written.
-    pub fn any_busy(&self) -> bool {
-        let busy = |conn: &ClientConnection| !conn.answers.is_empty() || !conn.out.is_empty();
-        self.connections.iter().any(|(_, conn)| busy(conn))
+    /// When a connection that has a request without an answer, or an answer that is not fully written, last made progress (a
+    /// command was read or part of an answer written); none if there is no such connection.
+    pub fn last_progress(&self) -> Option<Micros> {
+        let is_busy = |conn: &&ClientConnection| !conn.answers.is_empty() || !conn.out.is_empty();
+        let connections = self.connections.iter().map(|(_, conn)| conn);
+        connections.filter(is_busy).map(|conn| conn.since).max()
     }
 
     /// Number of bytes of answers that are not written to their clients' sockets.
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -192,7 +192,7 @@
             has_more: self.clients.has_more(),
         };
         self.shutdown
-            .may_exit(self.now, open, || self.clients.any_busy())
+            .may_exit(self.now, open, || self.clients.last_progress())
     }
 
     /// Closes and removes sockets and files that the next process must not find.
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -22,7 +22,8 @@
 const FINAL_WRITE_TIME: Micros = 150_000;
 /// Longest request deadline that the shutdown waits for, in microseconds.
 const MAX_DEADLINE: Micros = 3_000_000;
-/// Maximum time from the end of accepting until the process exits while clients still have answers to read, in microseconds.
+/// How long, after the end of accepting, the process waits for clients that have answers to read and make no progress, in
+/// microseconds.
 const READ_TIMEOUT: Micros = 2_000_000;
 
 /// Progress of the graceful shutdown.
@@ -114,9 +115,14 @@
         now >= self.exit_at()
     }
 
-    /// Whether the process may exit. All admitted requests must have been answered; `is_busy` says whether any client still
-    /// waits for output.
-    pub fn may_exit(&self, now: Micros, open: OpenClients, is_busy: impl Fn() -> bool) -> bool {
+    /// Whether the process may exit. All admitted requests must have been answered; `last_progress` says when a client that has
+    /// answers to read last made progress, and none if there is no such client.
+    pub fn may_exit(
+        &self,
+        now: Micros,
+        open: OpenClients,
+        last_progress: impl Fn() -> Option<Micros>,
+    ) -> bool {
         let Some(since) = self.closing_since else {
             return false;
         };
@@ -129,11 +135,13 @@
             return false;
         }
         if now >= self.fail_at {
-            return !is_busy();
+            return last_progress().is_none();
         }
         let waited = now - since;
+        if open.connected == 0 || waited <= IDLE_CLIENT_TIMEOUT {
+            return open.connected == 0;
+        }
         // Incomplete requests or unread answers must not delay the exit until the process is killed.
-        let only_idle = || waited > IDLE_CLIENT_TIMEOUT && !is_busy();
-        open.connected == 0 || waited > READ_TIMEOUT || only_idle()
+        last_progress().is_none_or(|progress| now > progress.max(since) + READ_TIMEOUT)
     }
 }
--- a/crates/ingress/src/shutdown/tests.rs
+++ b/crates/ingress/src/shutdown/tests.rs
@@ -32,15 +32,28 @@
         let shutdown = shutdown(longest_deadline);
         let killed_at = SIGNAL + counted + KILL_MARGIN;
         let fail_at = shutdown.fail_at;
-        assert!(!shutdown.may_exit(fail_at, CONNECTED, || true));
-        assert!(shutdown.may_exit(fail_at, CONNECTED, || false));
+        assert!(!shutdown.may_exit(fail_at, CONNECTED, || Some(SIGNAL)));
+        assert!(shutdown.may_exit(fail_at, CONNECTED, || None));
         let unread = OpenClients {
             has_more: true,
             ..CONNECTED
         };
-        assert!(!shutdown.may_exit(fail_at, unread, || false));
+        assert!(!shutdown.may_exit(fail_at, unread, || None));
         let latest = killed_at - 100 * MILLISECOND;
-        assert!(shutdown.may_exit(latest, unread, || true));
+        assert!(shutdown.may_exit(latest, unread, || Some(latest)));
         assert!(shutdown.must_exit(latest) && !shutdown.must_exit(fail_at));
     }
 }
+
+/// Guards against an exit before the clients that go on reading have their answers, and against waiting for those that don't.
+#[test]
+fn only_clients_that_read_delay_the_exit() {
+    let shutdown = shutdown(8 * SECOND);
+    let (closing_since, now) = (SIGNAL + SECOND, SIGNAL + 3 * SECOND + 10 * MILLISECOND);
+    assert!(!shutdown.may_exit(now, CONNECTED, || Some(now - SECOND)));
+    assert!(shutdown.may_exit(now, CONNECTED, || Some(SIGNAL)));
+    assert!(shutdown.may_exit(now, CONNECTED, || None));
+    // Clients without answers to read have a second to send or to close.
+    assert!(!shutdown.may_exit(closing_since + SECOND, CONNECTED, || None));
+    assert!(shutdown.may_exit(closing_since + SECOND + MILLISECOND, CONNECTED, || None));
+}
--- a/crates/ingress/tests/long.rs
+++ b/crates/ingress/tests/long.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenfork_testbed::service_fixture::{
-    call, command, serve, served, until, Act, Backend, Client, Ingress, Setup,
+    call, command, read_value, serve, served, until, Act, Backend, Client, Ingress, Setup,
 };
 
 /// Longest value that the ingress forwards.
@@ -403,6 +403,56 @@
     }
 }
 
+/// Guards against a shutdown that cuts off a client which is reading its answers, before SIGKILL is due: the process left
+/// 2 s after it had stopped accepting, however much was still to be read.
+#[test]
+fn a_shutdown_waits_for_a_client_that_goes_on_reading() {
+    /// Bytes that the client reads per millisecond until `FULL_SPEED_AFTER`.
+    const PACE: usize = 4_500;
+    const FULL_SPEED_AFTER: Duration = Duration::from_millis(2800);
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "s" => Act::Later(Duration::from_millis(300), served(args)),
+        _ => Act::Say(long_answer(args, MAX_VALUE_BYTES)),
+    });
+    let mut ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    // The memory limit has room to buffer the long answers behind the first one, which comes late.
+    let ids = ["s0", "l1", "l2", "l3", "l4"];
+    client.send(&ids.map(|id| call("refer", id, 7900)).concat());
+    until("the first answer arrives", || {
+        client.0.peek(&mut [0]).is_ok_and(|n| n > 0)
+    });
+    ingress.signal("TERM");
+    let start = Instant::now();
+    let (mut received, mut chunk) = (Vec::new(), vec![0; 64 * 1024]);
+    loop {
+        let elapsed = start.elapsed();
+        if elapsed < FULL_SPEED_AFTER && received.len() > elapsed.as_millis() as usize * PACE {
+            thread::sleep(Duration::from_millis(1));
+            continue;
+        }
+        match client.0.read(&mut chunk) {
+            Ok(n) if n > 0 => received.extend_from_slice(&chunk[..n]),
+            _ => break,
+        }
+    }
+    let mut unread = &received[..];
+    assert_eq!(read_value(&mut unread).unwrap(), ["value of s0"]);
+    for id in &ids[1..] {
+        let answer = read_value(&mut unread).map(|answer| answer.concat());
+        assert!(
+            answer == Some(value(id, MAX_VALUE_BYTES)),
+            "{id}, of {} bytes received in {:?}, the backend saw {}, exit {}:\n{}",
+            received.len(),
+            start.elapsed(),
+            backend.count(),
+            ingress.exit(),
+            ingress.log()
+        );
+    }
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
 // ---- Bodies ----
 
 fn post(class: &str, id: &str, body: &str) -> Vec<u8> {
