Known red: an answer that can't be buffered and breaks loses those behind it

Not mended: docs/design/0010 chose to forward such an answer as it arrives, and what to give up instead is asked in docs/questions.md.

--- a/crates/ingress/tests/long.rs
+++ b/crates/ingress/tests/long.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -260,6 +260,44 @@
     );
 }
 
+/// Guards against a long answer that breaks half way and takes the answers behind it with it, where the memory limit leaves no
+/// room to buffer it first.
+#[test]
+fn an_answer_too_long_to_buffer_that_breaks_loses_no_other_answer() {
+    let (asked, resume) = (
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicBool::new(false)),
+    );
+    let (count, may_answer) = (asked.clone(), resume.clone());
+    let backend = Backend::start(move |args| {
+        count.fetch_add(1, Ordering::SeqCst);
+        match &args[2][..1] {
+            "s" => Act::Until(0, may_answer.clone(), served(args)),
+            "m" => {
+                let half = long_answer(args, MAX_VALUE_BYTES)[..MAX_VALUE_BYTES / 2].to_vec();
+                Act::Parts(half.len(), Duration::ZERO, half)
+            }
+            _ => serve(args),
+        }
+    });
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let mut client = ingress.client();
+    let ids = ["s0", "m1", "q2"];
+    client.send(&ids.map(|id| call("refer", id, 5000)).concat());
+    until("all requests reach the backend", || {
+        asked.load(Ordering::SeqCst) == ids.len()
+    });
+    resume.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer(), "value of s0");
+    backend.seen.hang_up.store(true, Ordering::SeqCst);
+    assert_eq!(
+        [client.answer(), client.answer()],
+        ["-ERR failed", "value of q2"]
+    );
+}
+
 /// Guards against reading a request while an answer is streamed before it. If the stream breaks, the connection is
 /// closed and the result of the request would be lost; if it was not read, the client can safely send it again.
 #[test]
