Reload: a file read by a retry is not counted again at its own SIGHUP

What operators saw: cfg_accepted one too high, and the file enforced twice, when the retry of a truncated file (50 ms later) read the next file before its SIGHUP.

Cause: each accepted reading was counted, also the second reading of one file. The refusal of a file that needs a restart was counted twice by the same race.

Change: the reloader knows that a retry applied the enforced files and takes the next signal with the same content as theirs; a refusal counts once for each signal.

--- a/crates/ingress/src/reload.rs
+++ b/crates/ingress/src/reload.rs
@@ -2,6 +2,9 @@
 //! change made with `wrenctl apply`. Each file is accepted or refused once; a truncated file may still be in the middle of
 //! being written and is read again.
 
+#[cfg(test)]
+mod tests;
+
 use crate::config::{compile, ActiveConfig, Config, ConfigError, ConfigSource, ListenAddress};
 use crate::error::BoxError;
 use crate::reload_status::{ReloadOutcome, ReloadStatusFile};
@@ -86,8 +89,10 @@
     /// Backoff after the next failed reading; `None` while no reading is due.
     backoff: Option<Micros>,
     retry_at: Micros,
-    /// Whether a failure of the current reload has been reported.
-    failure_reported: bool,
+    /// Whether a reading for the latest request has failed, so that the next one is a retry. Only the first failure counts.
+    has_failed: bool,
+    /// Whether a retry applied the enforced files. It may have read files whose own signal is still to come.
+    applied_by_retry: bool,
     status: ReloadStatusFile,
     counts: ReloadCounts,
 }
@@ -102,7 +107,8 @@
             has_peers: config.peers.is_some(),
             backoff: None,
             retry_at: 0,
-            failure_reported: false,
+            has_failed: false,
+            applied_by_retry: false,
             status,
             counts: ReloadCounts::default(),
         }
@@ -155,7 +161,7 @@
     pub fn request(&mut self) {
         self.backoff = Some(FIRST_BACKOFF);
         self.retry_at = 0;
-        self.failure_reported = false;
+        self.has_failed = false;
     }
 
     /// Reports a reload as refused without reading the files, because they do not decide what is enforced.
@@ -184,29 +190,47 @@
             Err(error) => return self.handle_read_error(&error, backoff, now),
         };
         self.backoff = None;
+        if std::mem::take(&mut self.applied_by_retry) && self.is_enforced(&config) {
+            self.status.record(ReloadOutcome::Applied, "");
+            return Reload::Nothing;
+        }
         let checked = self.check_fixed(&config);
         // Reporting success here is safe: the event loop enforces the result before it handles anything else.
         match checked.and_then(|()| self.enforce(&config.source_pairs.state)) {
             Ok(active) => {
                 self.counts.accepted += 1;
+                self.applied_by_retry = self.has_failed;
                 self.status.record(ReloadOutcome::Applied, "");
                 Reload::Apply(Box::new(active))
             }
             Err(error) => {
-                tracing::warn!("reload: refused: {error}; keeping the current configuration");
-                self.counts.refused += 1;
-                self.status
-                    .record(ReloadOutcome::Refused, &error.to_string());
+                self.handle_refusal(&error);
                 Reload::Nothing
             }
         }
     }
 
+    /// Handles files that were read and cannot be enforced.
+    fn handle_refusal(&mut self, error: &ReloadError) {
+        tracing::warn!("reload: refused: {error}; keeping the current configuration");
+        if !std::mem::replace(&mut self.has_failed, true) {
+            self.counts.refused += 1;
+        }
+        self.status
+            .record(ReloadOutcome::Refused, &error.to_string());
+    }
+
+    /// Whether the files have the same content as the enforced configuration.
+    fn is_enforced(&self, config: &Config) -> bool {
+        let aligned = self.align_indices(&config.source_pairs.state);
+        self.check_fixed(config).is_ok() && aligned.is_ok_and(|state| state == self.enforced.state)
+    }
+
     /// Handles files that cannot be read: reports the first failure of a reload, and schedules another reading if they may be
     /// half written.
     fn handle_read_error(&mut self, error: &ConfigError, backoff: Micros, now: Micros) -> Reload {
         let retry = self.source.may_be_half_written(error);
-        if !std::mem::replace(&mut self.failure_reported, true) {
+        if !std::mem::replace(&mut self.has_failed, true) {
             let (outcome, consequence) = if retry {
                 (
                     ReloadOutcome::Retrying,
