Clients: the output buffer of a long answer doesn't double for a short one behind it

Need: an answer of 4 MiB in a client's output buffer counted as 8 MiB once the next answer was appended, since the buffer doubled. Beyond the limit (a quarter of the memory) enforce_memory closes the connection that holds the most, so its accepted requests lost their answers.

Change: a large buffer grows by 16 KiB at a time; its written part is freed once it is the larger one; output that is cut off counts as a lost answer in the 'stopped' line.

Test: a_short_answer_behind_a_long_one_takes_little_memory failed before (4,194,304 bytes for 256 short answers).

--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -39,7 +39,7 @@
             !matches!(conn.answers.front(), None | Some(AnswerSlot::Ready(_)));
         if position == 0 && front_is_unanswered {
             conn.pop_answer();
-            conn.out.extend_from_slice(text);
+            conn.append_output(text);
         } else if let Some(slot) = conn.answers.get_mut(position) {
             *slot = AnswerSlot::Ready(text.to_vec());
             conn.ready_bytes += text.len();
@@ -47,7 +47,7 @@
         while let Some(AnswerSlot::Ready(_)) = conn.answers.front() {
             if let Some(AnswerSlot::Ready(text)) = conn.pop_answer() {
                 conn.ready_bytes -= text.len();
-                conn.out.extend_from_slice(&text);
+                conn.append_output(&text);
             }
         }
         if let Some(AnswerSlot::Streaming(id)) = conn.answers.front() {
@@ -155,6 +155,9 @@
             conn.out.clear();
             conn.out.shrink_to(MAX_IDLE_BUFFER);
             conn.recount(&mut self.memory_used);
+        } else {
+            conn.free_written_output();
+            conn.recount(&mut self.memory_used);
         }
         if let Some(AnswerSlot::Streaming(id)) = conn.answers.front() {
             // Drops the written part at once. Otherwise the whole answer would accumulate in memory for a slow reader.
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -8,6 +8,9 @@
 use wrenfork_decision::{Micros, RequestId};
 use wrenfork_wire::resp;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of unanswered requests on one connection; at the limit, reading from the connection stops.
 const MAX_UNANSWERED: usize = 256;
 /// Maximum number of bytes of answers buffered for one client; at the limit, reading from the connection stops. The limit is low
@@ -16,6 +19,12 @@
 /// Number of consecutive errors after which a connection is closed. Each error costs an answer, and some clients never stop.
 const MAX_ERRORS: u32 = 8;
 
+/// Size of the output buffer in bytes beyond which it grows by [`OUTPUT_RESERVE`] at a time instead of doubling, since its whole
+/// capacity counts as memory.
+const MAX_DOUBLED_OUTPUT: usize = 64 * 1024;
+/// Spare capacity in bytes that a large output buffer grows by.
+const OUTPUT_RESERVE: usize = 16 * 1024;
+
 /// The connection that a request came on, and its position among the commands of that connection.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Origin {
@@ -205,10 +214,27 @@
         self.closing |= self.errors >= MAX_ERRORS;
     }
 
+    /// Appends an answer to the output buffer.
+    pub(super) fn append_output(&mut self, text: &[u8]) {
+        let wanted = self.out.len() + text.len();
+        if wanted > self.out.capacity().max(MAX_DOUBLED_OUTPUT) {
+            self.out.reserve_exact(text.len() + OUTPUT_RESERVE);
+        }
+        self.out.extend_from_slice(text);
+    }
+
+    /// Frees the written part of the output buffer once it is the larger part of a large buffer.
+    pub(super) fn free_written_output(&mut self) {
+        if self.written > MAX_DOUBLED_OUTPUT && self.written >= self.out.len() / 2 {
+            self.out.drain(..std::mem::take(&mut self.written));
+            self.out.shrink_to_fit();
+        }
+    }
+
     /// Queues an answer to the command just parsed.
     pub(super) fn queue_answer(&mut self, text: &[u8]) {
         if self.answers.is_empty() {
-            self.out.extend_from_slice(text);
+            self.append_output(text);
             self.first_index += 1;
         } else {
             self.ready_bytes += text.len();
--- a/crates/ingress/src/client/lost_answers.rs
+++ b/crates/ingress/src/client/lost_answers.rs
@@ -25,13 +25,15 @@
 }
 
 impl LostAnswers {
-    /// Counts the answers due on a connection that is about to be closed.
+    /// Counts the answers due on a connection that is about to be closed. Answers in its output buffer that are not written
+    /// completely count as one.
     pub(super) fn record<S>(&mut self, reason: CloseReason, conn: &ClientConnection<S>) {
         let count = match reason {
             CloseReason::BrokenStream => &mut self.broken_stream,
             CloseReason::Memory => &mut self.memory,
             CloseReason::Unread => &mut self.unread,
         };
-        *count += conn.answers.len() as u64;
+        let has_unwritten_answer = conn.written < conn.out.len() && !conn.stream_begun;
+        *count += conn.answers.len() as u64 + u64::from(has_unwritten_answer);
     }
 }
