Streaming: no answer is forwarded before its end while others are due behind it

Cause: design 0010 took this risk where memory was short, and allowed half of the connections' memory for buffered answers, less than one answer of 4 MiB at 24 and 32 MB.

Change: such an answer waits unread at its backend until there is memory, under its deadline, and fails alone if there is none. Three quarters of the memory may be used; answers whose turn has not come leave room for one whose turn it is, so that none waits for those behind it. The log says when answers wait. Nothing new is stored in a handover.

--- a/crates/ingress/src/backend.rs
+++ b/crates/ingress/src/backend.rs
@@ -29,6 +29,7 @@
 pub use connection::Connection;
 pub use handover::SavedBackends;
 pub use starting::{StartTimes, Started};
+pub use streaming::AnswerBuffering;
 
 use mio::Token;
 use pool::Pool;
@@ -60,6 +61,12 @@
     pub relayed: u64,
     /// Connections with data of a streamed answer that is ready to be forwarded.
     streams: Vec<ConnectionHandle>,
+    /// Connections whose streamed answers wait for memory to be buffered, oldest first. They are paused.
+    waiting_for_memory: Vec<ConnectionHandle>,
+    /// When the waiting answers were last checked.
+    memory_checked_at: Micros,
+    /// When waiting answers are logged next at the earliest.
+    next_memory_warning: Micros,
     /// Connections to read in the next turn without waiting for a readiness event.
     read_queue: Vec<ConnectionHandle>,
     /// Connect races to advance, each given by the connection that carries the attempt.
@@ -90,6 +97,9 @@
             ended: Vec::new(),
             relayed: 0,
             streams: Vec::new(),
+            waiting_for_memory: Vec::new(),
+            memory_checked_at: 0,
+            next_memory_warning: 0,
             read_queue: Vec::new(),
             races: Vec::new(),
             established: Vec::new(),
--- a/crates/ingress/src/backend/connection.rs
+++ b/crates/ingress/src/backend/connection.rs
@@ -46,6 +46,9 @@
     pub(super) long_answer: Option<LongAnswer>,
     /// Reading is paused until the received part of the streamed answer is forwarded to the client.
     pub(super) paused: bool,
+    /// Whether memory was granted to buffer the whole streamed answer. Not serialized: a successor grants it again.
+    #[serde(skip)]
+    pub(super) has_answer_memory: bool,
 }
 
 /// A race of connects, held by the connection that carries the attempt.
@@ -83,6 +86,7 @@
             buf: Vec::new(),
             long_answer: None,
             paused: false,
+            has_answer_memory: false,
         }
     }
 
--- a/crates/ingress/src/backend/handover.rs
+++ b/crates/ingress/src/backend/handover.rs
@@ -50,6 +50,7 @@
             buf,
             long_answer,
             paused,
+            has_answer_memory,
         } = self;
         Connection {
             stream,
@@ -68,6 +69,7 @@
             buf,
             long_answer,
             paused,
+            has_answer_memory,
         }
     }
 }
--- a/crates/ingress/src/backend/reading.rs
+++ b/crates/ingress/src/backend/reading.rs
@@ -193,6 +193,7 @@
     };
     conn.buf.drain(..begun.head);
     conn.long_answer = Some(begun.answer);
+    conn.has_answer_memory = false;
     conn.paused = true;
     true
 }
--- a/crates/ingress/src/backend/streaming.rs
+++ b/crates/ingress/src/backend/streaming.rs
@@ -7,6 +7,9 @@
 use wrenfork_decision::{Micros, Outcome};
 use wrenfork_wire::long::AnswerEnd;
 
+/// Minimum time between two log lines about answers that wait for memory, in microseconds.
+const MEMORY_WARNING_INTERVAL: Micros = 10_000_000;
+
 /// An attempt whose answer is being streamed.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamedAttempt {
@@ -16,6 +19,17 @@
     pub started_at: Micros,
 }
 
+/// Progress of buffering an answer up to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerBuffering {
+    /// The rest of the answer is read, or the connection has ended.
+    Continues,
+    /// The answer has arrived completely and is valid.
+    Complete,
+    /// There is no memory for the rest of the answer, which stays unread.
+    NoMemory,
+}
+
 impl Backends {
     /// Takes a connection with data of a streamed answer that is ready to be forwarded.
     pub fn next_stream(&mut self) -> Option<ConnectionHandle> {
@@ -46,35 +60,73 @@
     }
 
     /// Buffers an answer up to its end instead of forwarding it, provided that all buffered answers together stay within `memory`
-    /// bytes. Returns false if the answer must be forwarded now because it is complete or does not fit.
-    pub fn hold_back(&mut self, handle: ConnectionHandle, memory: usize, now: Micros) -> bool {
-        let others = self.connections.iter();
-        let others = others.filter(|(key, conn)| *key != handle.key && conn.long_answer.is_some());
-        let held: usize = others.map(|(_, conn)| conn.buf.capacity()).sum();
-        let Some(conn) = self.connections.get_mut(handle.key) else {
-            return true;
+    /// bytes. Memory is granted once for the whole answer.
+    pub fn buffer_answer(
+        &mut self,
+        handle: ConnectionHandle,
+        memory: usize,
+        now: Micros,
+    ) -> AnswerBuffering {
+        let used = self.answer_memory();
+        let conn = self.connections.get_mut(handle.key);
+        let Some(conn) = conn.filter(|conn| conn.serial == handle.serial) else {
+            return AnswerBuffering::Continues;
         };
-        let Some(long_answer) = conn
-            .long_answer
-            .as_ref()
-            .filter(|_| conn.serial == handle.serial)
-        else {
-            return true;
+        let Some(long_answer) = &conn.long_answer else {
+            return AnswerBuffering::Continues;
         };
+        let left = long_answer.left();
         match long_answer.is_complete(&conn.buf) {
-            Ok(true) => return false,
-            Ok(false) if held + long_answer.left() > memory => return false,
+            Ok(true) => return AnswerBuffering::Complete,
+            Ok(false) if !conn.has_answer_memory && used + left > memory => {
+                return AnswerBuffering::NoMemory;
+            }
             Ok(false) => {
-                let wanted = long_answer.left() + READ_BUFFER_BYTES;
+                let wanted = left + READ_BUFFER_BYTES;
                 conn.buf
                     .reserve_exact(wanted.saturating_sub(conn.buf.len()));
+                conn.has_answer_memory = true;
                 conn.paused = false;
                 conn.answer_since = now;
                 self.read_queue.push(handle);
             }
             Err(_) => self.break_connection(handle.key, now),
         }
-        true
+        AnswerBuffering::Continues
+    }
+
+    /// Bytes granted to answers that are buffered up to their end.
+    fn answer_memory(&self) -> usize {
+        let connections = self.connections.iter().map(|(_, conn)| conn);
+        let granted =
+            connections.filter(|conn| conn.long_answer.is_some() && conn.has_answer_memory);
+        granted.map(|conn| conn.buf.capacity()).sum()
+    }
+
+    /// Leaves an answer unread until there may be memory to buffer it.
+    pub fn wait_for_memory(&mut self, handle: ConnectionHandle, now: Micros) {
+        self.waiting_for_memory.push(handle);
+        if now >= self.next_memory_warning {
+            self.next_memory_warning = now + MEMORY_WARNING_INTERVAL;
+            tracing::warn!(
+                waiting = self.waiting_for_memory.len(),
+                "long answers wait for memory, since other answers are due behind them"
+            );
+        }
+    }
+
+    /// Whether any answer waits for memory.
+    pub fn any_waiting_for_memory(&self) -> bool {
+        !self.waiting_for_memory.is_empty()
+    }
+
+    /// Takes the connections whose answers wait for memory, oldest first. Returns none if they were already taken at this time.
+    pub fn take_waiting_for_memory(&mut self, now: Micros) -> Vec<ConnectionHandle> {
+        if self.memory_checked_at == now {
+            return Vec::new();
+        }
+        self.memory_checked_at = now;
+        std::mem::take(&mut self.waiting_for_memory)
     }
 
     /// Appends the buffered part of the answer to `out`. Reading from the connection resumes in the next turn.
@@ -86,10 +138,13 @@
         let Some(long_answer) = &mut conn.long_answer else {
             return;
         };
+        // Without this, the last two bytes of a long answer would double the capacity of the output buffer.
+        out.reserve_exact(conn.buf.len());
         let progress = long_answer.feed(&conn.buf, out);
         conn.buf.clear();
         match progress {
             Ok(None) => {
+                conn.buf.shrink_to(READ_BUFFER_BYTES);
                 conn.paused = false;
                 conn.answer_since = now;
                 self.read_queue.push(handle);
--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -1,6 +1,6 @@
 //! Writing answers to clients in the order of their requests.
 
-use super::connection::{AnswerSlot, Origin};
+use super::connection::{AnswerSlot, ClientConnection, Origin};
 use super::lost_answers::CloseReason;
 use super::Clients;
 use std::io::{ErrorKind, Write};
@@ -63,6 +63,27 @@
         connection.is_some_and(|conn| conn.serial == origin.serial && conn.answers.len() > 1)
     }
 
+    /// Whether requests that came after this one on its connection have answers that are not written yet. They would be lost if
+    /// the connection was closed in the middle of this answer.
+    pub fn has_answers_behind(&self, origin: Origin) -> bool {
+        let Some((conn, position)) = self.position_of(origin) else {
+            return false;
+        };
+        position + 1 < conn.answers.len()
+    }
+
+    /// Whether the answer to this request is the next one that its client receives.
+    pub(super) fn is_next_answer(&self, origin: Origin) -> bool {
+        self.position_of(origin)
+            .is_some_and(|(_, position)| position == 0)
+    }
+
+    fn position_of(&self, origin: Origin) -> Option<(&ClientConnection, usize)> {
+        let conn = self.connections.get(origin.key)?;
+        let position = conn.position_of(origin)?;
+        (conn.serial == origin.serial).then_some((conn, position))
+    }
+
     /// The output buffer that a streamed answer is appended to, if there is room. Otherwise returns none, and the request is
     /// queued in [`Clients::writable`] once there is room. Also returns none if the client has disconnected.
     pub fn stream_buffer(&mut self, origin: Origin) -> Option<&mut Vec<u8>> {
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -1,17 +1,31 @@
 //! Memory limits across all client connections. Limits per connection don't bound the total, so beyond the total limit the
 //! connections that hold the most memory are closed. A long body is read only once the memory for it has been granted.
 
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, Origin};
 use super::eviction::ConnectionId;
 use super::lost_answers::CloseReason;
 use super::Clients;
 use wrenfork_decision::Micros;
 use wrenfork_wire::resp;
 
+/// Memory that buffering the longest answer takes, in bytes: its value and what is read beyond it.
+const LONGEST_ANSWER_BYTES: usize = resp::MAX_LONG_VALUE + 64 * 1024;
+/// Share of the memory limit of all connections up to which long answers are buffered, as a fraction of [`BUFFERED_DIVISOR`].
+const BUFFERED_SHARE: usize = 3;
+/// Denominator of [`BUFFERED_SHARE`].
+const BUFFERED_DIVISOR: usize = 4;
+
 impl Clients {
-    /// Bytes available for buffering answers: half of the memory limit of all connections, minus the memory in use.
-    pub fn spare_memory(&self) -> usize {
-        (self.max_memory / 2).saturating_sub(self.memory_used)
+    /// Bytes available for buffering long answers up to their end, for the answer to this request. Unless it is the next one that its
+    /// client receives, room is left for an answer that is: the answers behind that one are held until it is complete.
+    pub fn spare_memory(&self, origin: Origin) -> usize {
+        let reserved = if self.is_next_answer(origin) {
+            0
+        } else {
+            LONGEST_ANSWER_BYTES
+        };
+        let limit = self.max_memory / BUFFERED_DIVISOR * BUFFERED_SHARE;
+        limit.saturating_sub(self.memory_used + reserved)
     }
 
     /// Recounts the memory of a connection. While the total is over the limit, closes the connection with the longest partial
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -177,7 +177,11 @@
             return Duration::ZERO;
         }
         // Timers expire only when `now` advances, which takes at least one tick.
-        let timer = self.timers.next().min(self.discovery.wake_at);
+        let timer = if self.backends.any_waiting_for_memory() {
+            self.now
+        } else {
+            self.timers.next().min(self.discovery.wake_at)
+        };
         let wake_at = timer.max(self.now + self.limits.tick);
         Duration::from_micros(wake_at.saturating_sub(self.clock.now()))
     }
--- a/crates/ingress/src/ingress/streaming.rs
+++ b/crates/ingress/src/ingress/streaming.rs
@@ -1,9 +1,10 @@
 //! Streaming of answers that are too long to buffer: their data is forwarded to the client as it arrives.
 
 use super::Ingress;
-use crate::backend::{Activity, ConnectionHandle};
+use crate::backend::{Activity, AnswerBuffering, ConnectionHandle};
+use crate::client::Origin;
 use crate::variant::Variant;
-use wrenfork_decision::{Event, Outcome, RequestId};
+use wrenfork_decision::{Event, Micros, Outcome, RequestId};
 
 impl<V: Variant> Ingress<V> {
     /// Forwards received data of a streamed answer, as far as the client's output buffer has space.
@@ -24,14 +25,12 @@
         }
         let origin = open.origin;
         if open.streaming.is_none() {
-            // Once part of the answer is sent, closing the client connection is the only way to report that the rest failed.
-            // If other answers are still due on that connection, buffer this answer to its end first, memory permitting.
-            let spare_memory = self.clients.spare_memory();
-            if self.clients.has_other_answers(origin)
-                && self.backends.hold_back(connection, spare_memory, now)
-            {
+            if self.must_not_begin(connection, origin, now) {
                 return;
             }
+            let Some(open) = self.requests.get_mut(id) else {
+                return;
+            };
             open.streaming = Some(number);
             if let Some(attempt) = open.attempt_mut(number) {
                 attempt.first_byte_after = Some(now.saturating_sub(streamed.started_at));
@@ -47,6 +46,40 @@
         }
     }
 
+    /// Whether an answer of which nothing was forwarded must not be forwarded yet. Once part of it is sent, closing the client
+    /// connection is the only way to report that the rest failed. If other answers are still due on that connection, the answer is
+    /// buffered to its end first. If there is no memory for that, answers behind it make it wait; its deadline applies meanwhile.
+    fn must_not_begin(
+        &mut self,
+        connection: ConnectionHandle,
+        origin: Origin,
+        now: Micros,
+    ) -> bool {
+        if !self.clients.has_other_answers(origin) {
+            return false;
+        }
+        let spare_memory = self.clients.spare_memory(origin);
+        match self.backends.buffer_answer(connection, spare_memory, now) {
+            AnswerBuffering::Continues => true,
+            AnswerBuffering::Complete => false,
+            AnswerBuffering::NoMemory => {
+                let must_wait = self.clients.has_answers_behind(origin);
+                if must_wait {
+                    self.backends.wait_for_memory(connection, now);
+                }
+                must_wait
+            }
+        }
+    }
+
+    /// Checks whether answers that wait for memory can be buffered or forwarded now.
+    pub(super) fn check_waiting_answers(&mut self) {
+        for connection in self.backends.take_waiting_for_memory(self.now) {
+            self.forward_streamed_answer(connection);
+        }
+        self.process_events();
+    }
+
     /// Resumes streamed answers whose clients can take more data again.
     pub(super) fn continue_streams(&mut self) {
         let mut writable = std::mem::take(&mut self.clients.writable);
--- a/crates/ingress/src/ingress/turn.rs
+++ b/crates/ingress/src/ingress/turn.rs
@@ -66,6 +66,7 @@
         self.fire_timers();
         self.clients.flush(self.now);
         self.continue_streams();
+        self.check_waiting_answers();
         let requests_memory = self.requests.memory_used();
         self.clients.grant_memory(requests_memory, self.now);
         self.take_client_events();
