Failpoints: one takes effect once in a process, not once in each proposal

Cause: each proposal of wrenctl apply read WRENFORK_FAULT anew with a counter of its own. An applier whose ballot was overtaken while it was stopped began a second proposal and stopped there again. Evidence: a test in which another applier takes a higher ballot leaves it stopped, with the progress lines that the hung process printed (preparing, accepting, preparing).

Change: Failpoints::from_env reads the environment once; all callers share the counter.

--- a/crates/control-plane/src/failpoints.rs
+++ b/crates/control-plane/src/failpoints.rs
@@ -6,7 +6,7 @@
 
 use rustix::process::{getpid, kill_process, Signal};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// The environment variable that sets a failpoint.
 pub const VARIABLE: &str = "WRENFORK_FAULT";
@@ -67,8 +67,13 @@
 }
 
 impl Failpoints {
-    /// Reads the failpoint from the environment variable [`VARIABLE`].
+    /// The failpoint set by the environment variable [`VARIABLE`]. It takes effect once in a process: all callers share a counter.
     pub fn from_env() -> Failpoints {
+        static PROCESS: OnceLock<Failpoints> = OnceLock::new();
+        PROCESS.get_or_init(Failpoints::read_env).clone()
+    }
+
+    fn read_env() -> Failpoints {
         let setting = std::env::var(VARIABLE).ok();
         Failpoints(
             setting
--- a/crates/ctl/tests/group/main.rs
+++ b/crates/ctl/tests/group/main.rs
@@ -208,6 +208,40 @@
     each_fault_at(Some("apply.decided:2"));
 }
 
+/// Guards against a failpoint that takes effect again in a later proposal of the same process: an applier that lost its first
+/// ballot while it was stopped stayed stopped.
+#[test]
+fn a_stopped_applier_goes_on_after_another_applier_took_a_higher_ballot() {
+    let mut group = Group::started(three());
+    let policy = other(group.wants);
+    says(&group.plan("ann", policy), 2, &[]);
+    says(&group.plan("bob", policy), 2, &[]);
+    let mut stopped_apply = group
+        .wrenctl(&["apply", "ann.plan", "--yes"])
+        .env(failpoints::VARIABLE, "apply.decided:1:stop")
+        .spawn()
+        .unwrap();
+    group.wait("the applier is stopped", || stopped(stopped_apply.id()));
+    // The other applier dies after its promises: its ballot is the highest, and nothing was accepted.
+    let killed_apply = group
+        .wrenctl(&["apply", "bob.plan", "--yes"])
+        .env(failpoints::VARIABLE, "apply.decided:1")
+        .output()
+        .unwrap();
+    assert_eq!(killed_apply.status.code(), None, "{}", told(&killed_apply));
+    signal(stopped_apply.id(), "CONT");
+    let start = Instant::now();
+    while stopped_apply.try_wait().unwrap().is_none() && start.elapsed() < WAIT_LIMIT {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let is_stopped = stopped_apply.try_wait().unwrap().is_none() && stopped(stopped_apply.id());
+    let _ = stopped_apply.kill(); // has no effect if it has ended
+    let output = stopped_apply.wait_with_output().unwrap();
+    assert!(!is_stopped, "stopped again: {}", told(&output));
+    says(&output, 0, &[]);
+    assert_eq!(group.agreed(), format!("p{policy}"));
+}
+
 /// A member that dies at any point of its own steps: the others make the change, and it takes it up when it is back.
 #[test]
 fn a_member_that_dies_at_any_step_takes_up_what_the_others_made() {
