Rollout: processor time per request is that of the event loop, not of the process

What operators saw: a good rollout was taken back ('processor time per request: +108.2%') because the control port of the member with the new version was asked more often than others.

Cause: the time of control, lease and rollout threads counted as cost of requests.

Change: the event loop reports its own thread's processor time. Comparison and tolerance unchanged.

--- a/crates/control-plane/src/clock.rs
+++ b/crates/control-plane/src/clock.rs
@@ -9,9 +9,9 @@
     duration(clock_gettime(ClockId::Boottime))
 }
 
-/// CPU time that this process has used (`CLOCK_PROCESS_CPUTIME_ID`).
-pub fn cpu_time() -> Duration {
-    duration(clock_gettime(ClockId::ProcessCPUTime))
+/// CPU time that the calling thread has used (`CLOCK_THREAD_CPUTIME_ID`).
+pub fn thread_cpu_time() -> Duration {
+    duration(clock_gettime(ClockId::ThreadCPUTime))
 }
 
 fn duration(time: Timespec) -> Duration {
--- a/crates/ctl/tests/group/rollout.rs
+++ b/crates/ctl/tests/group/rollout.rs
@@ -5,8 +5,12 @@
 use std::collections::BTreeSet;
 use std::fs;
 use std::process::Output;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use wrenfork_consensus::protocol::{GroupRequest, GroupResponse};
+use wrenfork_control_plane::client;
 use wrenfork_rollout::RolloutPhase;
 use wrenfork_testbed::links::Fault;
 use wrenfork_testbed::service_fixture::WAIT_LIMIT;
@@ -142,6 +146,51 @@
     assert_eq!(group.agreed(), "p2");
 }
 
+/// Guards against processor time that does not depend on requests, such as that of operators who ask one member often, being
+/// taken for a cost of the new version: the rollout held itself.
+#[test]
+fn a_member_whose_control_port_is_busy_does_not_look_worse() {
+    let mut group = Group::started(four());
+    let load = group.load();
+    says(
+        &group.roll("ann", 1, "[\"1\", \"all\"]"),
+        0,
+        &["made: stage 1"],
+    );
+    let new = *group.on("p1").first().expect("one member has the new one");
+    let socket = group.control(new);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let stop = is_over.clone();
+    let operator = thread::spawn(move || {
+        let mut answers = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let status: Result<GroupResponse, _> =
+                client::request(&socket, &GroupRequest::Status, WAIT_LIMIT);
+            answers += u32::from(status.is_ok());
+            thread::sleep(Duration::from_millis(2));
+        }
+        answers
+    });
+    group.until("the end", |p| {
+        matches!(
+            p,
+            RolloutPhase::Completed | RolloutPhase::Paused { .. } | RolloutPhase::RolledBack
+        )
+    });
+    is_over.store(true, Ordering::SeqCst);
+    let answers = operator.join().unwrap();
+    let status = group.run(&["rollout", "status", "ann"]);
+    assert_eq!(
+        group.phase(),
+        Some(RolloutPhase::Completed),
+        "{answers} answers to the operator\n{}",
+        told(&status)
+    );
+    assert!(answers > 1_000, "{answers}");
+    assert_eq!(group.agreed(), "p1");
+    load.stop();
+}
+
 /// One that fails is found by what is lost, and taken back; only its first stage ever had it. One of the old that was down
 /// since before comes back with the old.
 #[test]
--- a/crates/ingress/src/control/command.rs
+++ b/crates/ingress/src/control/command.rs
@@ -21,6 +21,6 @@
     Apply(NewConfig, SyncSender<Vocabulary>),
     /// Report the usage metrics against which a planned change is checked.
     ReportIngressMetrics(SyncSender<IngressMetrics>),
-    /// Report the counts by which a staged rollout compares cohorts.
+    /// Report the counts and the processor time by which a staged rollout compares cohorts.
     ReportCohortMetrics(SyncSender<MemberMetrics>),
 }
--- a/crates/ingress/src/control/event_loop_handle.rs
+++ b/crates/ingress/src/control/event_loop_handle.rs
@@ -10,9 +10,7 @@
 use wrenfork_commit::metrics::IngressMetrics;
 use wrenfork_commit::protocol::AuditRecord;
 use wrenfork_commit::state::State;
-use wrenfork_control_plane::{
-    clock, DataPlane, DataPlaneError, PROGRAM_VARIABLE, REPLACEMENT_VARIABLE,
-};
+use wrenfork_control_plane::{DataPlane, DataPlaneError, PROGRAM_VARIABLE, REPLACEMENT_VARIABLE};
 use wrenfork_rollout::MemberMetrics;
 
 /// Maximum time to wait for the event loop's answer to a command. A turn takes far less.
@@ -93,7 +91,6 @@
             incarnation: self.incarnation,
             uptime_ms: self.started_at.elapsed().as_millis() as u64,
             zone_group: self.zone().unwrap_or_default().to_string(),
-            cpu_us: clock::cpu_time().as_micros() as u64,
             memory_kb: resident_kilobytes(),
             ..cohort_metrics
         }
--- a/crates/ingress/src/ingress/configuration.rs
+++ b/crates/ingress/src/ingress/configuration.rs
@@ -10,7 +10,9 @@
 use crate::variant::Variant;
 use std::collections::BTreeMap;
 use wrenfork_commit::metrics::{IngressMetrics, PlanUsage};
+use wrenfork_control_plane::clock;
 use wrenfork_decision::{BackendId, EndpointListKind, Event};
+use wrenfork_rollout::MemberMetrics;
 use wrenfork_wire::call::Vocabulary;
 
 impl<V: Variant> Ingress<V> {
@@ -41,8 +43,7 @@
                     drop(reply.send(self.ingress_metrics()))
                 }
                 ControlCommand::ReportCohortMetrics(reply) => {
-                    let report = self.cohort_metrics.report(&self.clients.vocabulary);
-                    let _ = reply.send(report);
+                    let _ = reply.send(self.member_metrics());
                 }
             }
         }
@@ -97,6 +98,15 @@
         self.metrics.config_refused = counts.refused;
     }
 
+    /// The metrics by which versions are compared in a rollout. Processor time is that of the event loop: other threads answer
+    /// operators and renew leases, which costs the same however many requests there are.
+    fn member_metrics(&mut self) -> MemberMetrics {
+        MemberMetrics {
+            cpu_us: clock::thread_cpu_time().as_micros() as u64,
+            ..self.cohort_metrics.report(&self.clients.vocabulary)
+        }
+    }
+
     /// The usage metrics against which a planned change is checked.
     fn ingress_metrics(&self) -> IngressMetrics {
         IngressMetrics {
--- a/crates/rollout/src/metrics.rs
+++ b/crates/rollout/src/metrics.rs
@@ -100,7 +100,7 @@
     /// Zone group of the member.
     #[serde(rename = "hall")]
     pub zone_group: String,
-    /// Processor time used, in microseconds.
+    /// Processor time that handling requests used, in microseconds.
     pub cpu_us: u64,
     /// Resident memory, in kilobytes.
     pub memory_kb: u64,
