--- a/crates/ctl/tests/group/rollout.rs
+++ b/crates/ctl/tests/group/rollout.rs
@@ -1,5 +1,6 @@
 //! Rollouts by real processes: in stages, judged while old and new serve side by side, stopped and taken back.
 
+use super::programs::alone;
 use super::site::{told, Bad, Got, Group, Layout, LEASE};
 use super::{says, three};
 use std::collections::BTreeSet;
@@ -150,6 +151,7 @@
 /// taken for a cost of the new version: the rollout held itself.
 #[test]
 fn a_member_whose_control_port_is_busy_does_not_look_worse() {
+    let _alone = alone();
     let mut group = Group::started(four());
     let load = group.load();
     says(
--- a/crates/ctl/tests/group/site.rs
+++ b/crates/ctl/tests/group/site.rs
@@ -739,6 +739,17 @@
     }
 }
 
+/// Waits for a process to end and returns its output. One that does not end, because it hangs or is stopped, is killed: its exit
+/// code is then missing.
+pub fn output_of(mut child: Child) -> Output {
+    let start = Instant::now();
+    while child.try_wait().unwrap().is_none() && start.elapsed() < 3 * WAIT_LIMIT {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let _ = child.kill(); // has no effect if it has ended
+    child.wait_with_output().unwrap()
+}
+
 pub fn told(output: &Output) -> String {
     String::from_utf8_lossy(&output.stderr).into_owned() + &String::from_utf8_lossy(&output.stdout)
 }
