--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,10 +1,12 @@
 //! A small share of the backends' answers is followed by a second copy some milliseconds late, sent while nothing waits on the
-//! connection. No client may be served with the value of another request.
+//! connection; some requests are turned away, as by a full queue. No client may be served with the value of another request, and no
+//! request of a class that must not run twice may run twice.
 
 #[path = "../lib-2/standin.rs"]
 mod standin;
 
 use standin::*;
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -20,6 +22,10 @@
 const WORK: Duration = Duration::from_millis(5);
 /// One answer in so many has a second copy.
 const ONE_IN: u64 = 40;
+/// How long a busy backend takes to turn a request away.
+const TURNING_AWAY: Duration = Duration::from_millis(5);
+/// One request in so many is turned away, with or without the disruption.
+const TURNED_AWAY_ONE_IN: u64 = 15;
 const CLIENTS: u64 = 6;
 const SECONDS: u64 = 30;
 
@@ -44,8 +50,17 @@
     sender
 }
 
+/// What the backends count together.
+#[derive(Default)]
+struct Counts {
+    requests: AtomicU64,
+    answers: AtomicU64,
+    copies: AtomicU64,
+    runs: Mutex<HashMap<String, u32>>,
+}
+
 /// A backend behind a network with a delay: `ONE_WAY` each way.
-fn distant_backend(n: usize, answers: Arc<AtomicU64>, copies: Arc<AtomicU64>, record: Record) -> std::net::SocketAddr {
+fn distant_backend(n: usize, counts: Arc<Counts>, record: Record) -> std::net::SocketAddr {
     let writers: Mutex<Vec<(std::net::SocketAddr, Sender<Outgoing>, Arc<AtomicUsize>)>> = Mutex::new(Vec::new());
     backend(move |request, out| {
         let peer = out.peer_addr().unwrap();
@@ -62,21 +77,27 @@
         };
         std::thread::sleep(ONE_WAY); // the way of the request
         let arrived = arrivals.fetch_add(1, Ordering::SeqCst) + 1;
+        if counts.requests.fetch_add(1, Ordering::SeqCst) % TURNED_AWAY_ONE_IN == TURNED_AWAY_ONE_IN - 1 {
+            std::thread::sleep(TURNING_AWAY);
+            record.line(format!("backend {n} turns {} away", request.id));
+            return sender.send((Instant::now(), b"-BUSY\r\n".to_vec())).is_ok();
+        }
         record.line(format!("backend {n} runs {}", request.id));
+        *counts.runs.lock().unwrap().entry(request.id.clone()).or_default() += 1;
         std::thread::sleep(WORK);
         let answer = served(format!("value for {}", request.id).as_bytes());
         let sent_at = Instant::now();
         if sender.send((sent_at, answer.clone())).is_err() {
             return false;
         }
-        let count = answers.fetch_add(1, Ordering::SeqCst);
+        let count = counts.answers.fetch_add(1, Ordering::SeqCst);
         if trouble() && count % ONE_IN == ONE_IN - 1 {
-            let (copies, record, id) = (copies.clone(), record.clone(), request.id.clone());
+            let (counts, record, id) = (counts.clone(), record.clone(), request.id.clone());
             std::thread::spawn(move || {
                 wait_until(sent_at + LATE);
                 // Only if nothing else waits on the connection.
                 if arrivals.load(Ordering::SeqCst) == arrived && sender.send((Instant::now(), answer)).is_ok() {
-                    copies.fetch_add(1, Ordering::SeqCst);
+                    counts.copies.fetch_add(1, Ordering::SeqCst);
                     record.line(format!("backend {n} sends a second copy of the answer to {id}"));
                 }
             });
@@ -87,9 +108,9 @@
 
 fn main() {
     let record = Record::create();
-    let (answers, copies) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let counts = Arc::new(Counts::default());
     let addresses: Vec<_> = (0..2)
-        .map(|n| distant_backend(n, answers.clone(), copies.clone(), record.clone()))
+        .map(|n| distant_backend(n, counts.clone(), record.clone()))
         .collect();
     let ingress = start_ingress(&endpoints("s-", &addresses), &Settings::default(), &record);
     let until = Instant::now() + Duration::from_secs(SECONDS);
@@ -101,22 +122,28 @@
         .collect();
     let (mut sent, mut right, mut foreign) = (0, 0, 0);
     for client in clients {
-        let counts = client.join().unwrap_or_else(|_| fail("a client failed"));
-        sent += counts.0;
-        right += counts.1;
-        foreign += counts.2;
+        let of_client = client.join().unwrap_or_else(|_| fail("a client failed"));
+        sent += of_client.0;
+        right += of_client.1;
+        foreign += of_client.2;
     }
     ingress.log_to(&record);
     drop(ingress);
+    let runs = counts.runs.lock().unwrap();
+    let mut twice = 0;
+    for (id, times) in runs.iter().filter(|(_, times)| **times > 1) {
+        twice += 1;
+        record.line(format!("{id} ran {times} times"));
+    }
     record.say(format!(
-        "{sent} requests, {} answers of backends, {} second copies; {right} served with their own value, {foreign} with another's",
-        answers.load(Ordering::SeqCst),
-        copies.load(Ordering::SeqCst)
+        "{sent} requests, {} answers of backends, {} second copies; {right} served with their own value, {foreign} with another's, {twice} ran twice",
+        counts.answers.load(Ordering::SeqCst),
+        counts.copies.load(Ordering::SeqCst)
     ));
     if right == 0 {
         fail("nothing was served");
     }
-    std::process::exit(if foreign > 0 { BROKEN } else { HELD });
+    std::process::exit(if foreign + twice > 0 { BROKEN } else { HELD });
 }
 
 /// Sends requests with pauses of 4 to 12 ms; returns how many were sent, served rightly and served with a foreign value.
