--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -4,7 +4,10 @@
 #[path = "../lib-2/standin.rs"]
 mod standin;
 
-use standin::*;
+use standin::{
+    backend, call, endpoints, fail, options, pause, served, set_linger_zero, start_ingress,
+    trouble, Ingress, Reader, Record, Settings, BROKEN, HELD,
+};
 use std::io::Write;
 use std::time::{Duration, Instant};
 
@@ -44,12 +47,19 @@
                 let answer = served(&value(&request.id, length));
                 let Some(cut) = cut else {
                     let whole = out.write_all(&answer).is_ok();
-                    log.line(format!("backend {n} has written the answer to {}: {whole}", request.id));
+                    log.line(format!(
+                        "backend {n} has written the answer to {}: {whole}",
+                        request.id
+                    ));
                     return whole;
                 };
                 let _ = out.write_all(&answer[..cut]);
                 pause(400);
-                log.line(format!("backend {n} resets its connection after {cut} of {} bytes for {}", answer.len(), request.id));
+                log.line(format!(
+                    "backend {n} resets its connection after {cut} of {} bytes for {}",
+                    answer.len(),
+                    request.id
+                ));
                 reset(out);
                 false
             })
@@ -81,7 +91,11 @@
     let [a, b, c] = ["a", "b", "c"].map(|letter| format!("{letter}{n:015x}"));
     let options = options("lender-referral", 8000);
     let begun = Instant::now();
-    let two = [call("CALL.POST", &a, &options, Some(b"x")), call("CALL.POST", &b, &options, Some(b"x"))].concat();
+    let two = [
+        call("CALL.POST", &a, &options, Some(b"x")),
+        call("CALL.POST", &b, &options, Some(b"x")),
+    ]
+    .concat();
     if out.write_all(&two).is_err() {
         fail("the client could not write");
     }
@@ -99,11 +113,16 @@
     let elapsed = begun.elapsed().as_millis();
     let whole = match &answer {
         Ok(answer) => {
-            record.line(format!("client {n}: {a} after {elapsed} ms: {}", answer.short()));
+            record.line(format!(
+                "client {n}: {a} after {elapsed} ms: {}",
+                answer.short()
+            ));
             answer.served() == Some(&value(&a, FIRST_BYTES)[..])
         }
         Err(error) => {
-            record.line(format!("client {n}: {a} after {elapsed} ms: NOT ANSWERED WHOLE: {error}"));
+            record.line(format!(
+                "client {n}: {a} after {elapsed} ms: NOT ANSWERED WHOLE: {error}"
+            ));
             false
         }
     };
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,112 +1,212 @@
-//! Some clients write long bodies slowly. Other clients' requests, whose bodies are written at once, must still get a final answer
-//! before their time is over.
+//! A front's connection carries requests of two tenants, each with a token of its own. A key is withdrawn, and requests signed with it
+//! that were under way still arrive. They are denied; the other tenant's requests on the same connection must be answered.
 
 #[path = "../lib-2/standin.rs"]
 mod standin;
 
-use standin::*;
+use standin::{
+    backend, command, configuration, discovery, endpoints, fail, folder, free_address, pause,
+    served, trouble, Ingress, Reader, Record, Settings, Value, BROKEN, HELD, SIGHUP,
+};
 use std::io::Write;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
 
-/// Clients that write slowly, the length of their bodies, and the pause after each 64 KiB: about 6 s for a body.
-const SLOW_CLIENTS: usize = 4;
-const SLOW_BODY: usize = 4 << 20;
-const PACE: Duration = Duration::from_millis(90);
-/// The other clients and the length of their bodies, which they write at once.
-const CLIENTS: usize = 5;
-const BODY: usize = 100 * 1024;
-/// How long these wait for the answer, and how much later an answer only earns nothing (with the 50 ms of sockets).
-const WAIT_MS: u64 = 3000;
-const SLACK_MS: u64 = 550;
+/// Requests under way whose key was withdrawn.
+const WITHDRAWN: usize = 10;
+/// Requests of the other tenant behind them.
+const BEHIND: usize = 4;
+/// How many fronts do so, one after the other.
+const FRONTS: usize = 3;
+
+fn wrenctl(arguments: &[&str]) -> String {
+    let output = Command::new("target/release/wrenctl")
+        .args(arguments)
+        .output();
+    let output = output.unwrap_or_else(|e| fail(&format!("wrenctl: {e}")));
+    if !output.status.success() {
+        fail(&format!(
+            "wrenctl {arguments:?}: {}",
+            String::from_utf8_lossy(&output.stderr)
+        ));
+    }
+    String::from_utf8_lossy(&output.stdout).trim().to_string()
+}
+
+/// The operator's file of the ingress with these keys of the issuer, each given by name and public half.
+fn write_operator_file(path: &Path, keys: &[(&str, &str)]) {
+    let mut text =
+        "version = 1\nkind = \"ingress\"\n\n[identity]\naudience = \"bangna\"\nrequired = true\n\n\
+                    [[identity.issuer]]\nname = \"desk\"\n"
+            .to_string();
+    for (name, public) in keys {
+        text += &format!("\n[[identity.issuer.key]]\nname = \"{name}\"\npublic = \"{public}\"\n");
+    }
+    for (tenant, account) in [
+        ("first", "00000000000004d2"),
+        ("second", "00000000000004d3"),
+    ] {
+        text +=
+            &format!("\n[[identity.tenant]]\nname = \"{tenant}\"\naccounts = [\"{account}\"]\n");
+    }
+    std::fs::write(path, text).unwrap_or_else(|e| fail(&e.to_string()));
+}
+
+fn request(account: &str, id: &str, token: &str) -> Vec<u8> {
+    let options =
+        format!("c=lender-referral,t=business,d=4000,units=1,spread=1,first=0,auth={token}");
+    command(&[
+        b"CALL.POST",
+        account.as_bytes(),
+        id.as_bytes(),
+        options.as_bytes(),
+        b"x",
+    ])
+}
+
+fn ask(ingress: &Ingress, bytes: &[u8]) -> Value {
+    let mut stream = ingress.connect();
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+    let _ = stream.write_all(bytes);
+    Reader::new(stream).value().unwrap_or(Value::Null)
+}
 
 fn main() {
     let record = Record::create();
-    let addresses: Vec<_> = (0..4)
+    let log = record.clone();
+    let addresses: Vec<_> = (0..3)
         .map(|n| {
-            let record = record.clone();
+            let log = log.clone();
             backend(move |request, out| {
-                let told = request.option("d").unwrap_or("").to_string();
-                record.line(format!("backend {n} runs {} with a body of {} bytes, d={told}", request.id, request.body.len()));
-                pause(100);
-                out.write_all(&served(format!("value for {}", request.id).as_bytes())).is_ok()
+                log.line(format!("backend {n} runs {}", request.id));
+                if request.id.starts_with('a') {
+                    pause(300);
+                }
+                out.write_all(&served(format!("value for {}", request.id).as_bytes()))
+                    .is_ok()
             })
         })
         .collect();
-    let settings = Settings { memory_mb: 48, ..Settings::default() };
-    let ingress = Arc::new(start_ingress(&endpoints("s-", &addresses), &settings, &record));
-    let slow: Vec<_> = (0..SLOW_CLIENTS)
-        .map(|n| {
-            let (ingress, record) = (ingress.clone(), record.clone());
-            std::thread::spawn(move || slow_client(&ingress, n, &record))
-        })
-        .collect();
-    pause(500);
-    let others: Vec<_> = (0..CLIENTS)
-        .map(|n| {
-            let (ingress, record) = (ingress.clone(), record.clone());
-            std::thread::spawn(move || is_answered_in_time(&ingress, n, &record))
-        })
-        .collect();
-    let lost = others.into_iter().map(|other| other.join()).filter(|answered| !matches!(answered, Ok(true))).count();
-    for client in slow {
-        let _ = client.join();
+    let folder = folder();
+    let key = |name: &str| {
+        let path = folder.join(name).display().to_string();
+        let public = wrenctl(&["keys", "new", &path]);
+        (path, public)
+    };
+    let (old_path, old_public) = key("old.key");
+    let (new_path, new_public) = key("new.key");
+    let token = |path: &str, kid: &str, tenant: &str| {
+        wrenctl(&[
+            "keys",
+            "token",
+            "--key",
+            path,
+            "--kid",
+            kid,
+            "--audience",
+            "bangna",
+            "--tenant",
+            tenant,
+            "--for",
+            "1h",
+        ])
+    };
+    let old_token = token(&old_path, "desk/old", "first");
+    let new_token = token(&new_path, "desk/new", "second");
+    let operator = folder.join("ingress.toml");
+    write_operator_file(&operator, &[("old", &old_public), ("new", &new_public)]);
+
+    let listed = endpoints("s-", &addresses);
+    let listen = free_address();
+    let config = folder.join("config.json");
+    let text = configuration(
+        listen,
+        discovery(listed.clone()),
+        &listed,
+        &Settings::default(),
+    );
+    std::fs::write(&config, text).unwrap();
+    let ingress = Ingress::start(
+        listen,
+        &config,
+        &format!("--operator '{}'", operator.display()),
+        &record,
+    );
+    let first = request("00000000000004d2", "f000000000000001", &old_token);
+    let second = request("00000000000004d3", "f000000000000002", &new_token);
+    for (tenant, bytes) in [("first", &first), ("second", &second)] {
+        let answer = ask(&ingress, bytes);
+        record.line(format!("{tenant} tenant, before: {}", answer.short()));
+        if answer.served().is_none() {
+            fail("a tenant was not served before the disruption");
+        }
+    }
+    if trouble() {
+        write_operator_file(&operator, &[("new", &new_public)]);
+        ingress.signal(SIGHUP);
+        record.line("the old key is withdrawn: SIGHUP");
+        pause(500);
+    }
+    let mut lost = 0;
+    for n in 0..FRONTS {
+        lost += unanswered(&ingress, n, &old_token, &new_token, &record);
     }
-    pause(300);
     ingress.log_to(&record);
     drop(ingress);
     record.say(format!(
-        "{lost} of {CLIENTS} requests that were written at once had no final answer {SLACK_MS} ms after their time"
+        "{lost} of {} requests of the honest tenant got no answer: the ingress ended their connection",
+        FRONTS * (BEHIND + 1)
     ));
     std::process::exit(if lost > 0 { BROKEN } else { HELD });
 }
 
-fn request(id: &str, customer: &str, wait_ms: u64, length: usize) -> Vec<u8> {
-    let options = format!("{},k={id}", options("save-scenario", wait_ms));
-    command(&[b"CALL.POST", customer.as_bytes(), id.as_bytes(), options.as_bytes(), &vec![b'x'; length]])
-}
-
-fn slow_client(ingress: &Ingress, n: usize, record: &Record) {
-    let mut stream = ingress.connect();
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
-    let id = format!("a{n:015x}");
-    let bytes = request(&id, "00000000000004d2", 3000, SLOW_BODY);
-    record.line(format!("slow client {n} begins to write {id}, {} bytes", bytes.len()));
-    for piece in bytes.chunks(64 * 1024) {
-        if let Err(error) = stream.write_all(piece) {
-            return record.line(format!("slow client {n}: {id}: {error}"));
-        }
-        if trouble() {
-            std::thread::sleep(PACE);
-        }
-    }
-    record.line(format!("slow client {n} has written {id}"));
-    let answer = Reader::new(stream).value().map_or_else(|e| e.to_string(), |answer| answer.short());
-    record.line(format!("slow client {n}: {id}: {answer}"));
-}
-
-fn is_answered_in_time(ingress: &Ingress, n: usize, record: &Record) -> bool {
+/// Sends all requests of a front in one write and counts the honest tenant's requests that get no answer.
+fn unanswered(
+    ingress: &Ingress,
+    n: usize,
+    old_token: &str,
+    new_token: &str,
+    record: &Record,
+) -> usize {
+    let honest = |letter: char, m: usize| format!("{letter}{n:07x}{m:08x}");
+    let mut sent: Vec<(String, bool)> = vec![(honest('a', 0), true)];
+    sent.extend((0..WITHDRAWN).map(|m| (honest('b', m), false)));
+    sent.extend((0..BEHIND).map(|m| (honest('c', m), true)));
+    let bytes: Vec<u8> = sent
+        .iter()
+        .flat_map(|(id, is_honest)| match is_honest {
+            true => request("00000000000004d3", id, new_token),
+            false => request("00000000000004d2", id, old_token),
+        })
+        .collect();
     let mut stream = ingress.connect();
-    let id = format!("b{n:015x}");
-    let bytes = request(&id, "00000000000004d3", WAIT_MS, BODY);
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
     if stream.write_all(&bytes).is_err() {
-        fail("a client could not write");
+        fail("the front could not write");
     }
-    let begun = Instant::now();
-    record.line(format!("client {n} has written {id}, {} bytes", bytes.len()));
-    let _ = stream.set_read_timeout(Some(Duration::from_millis(WAIT_MS + SLACK_MS)));
+    let ids: Vec<&str> = sent.iter().map(|(id, _)| id.as_str()).collect();
+    record.line(format!(
+        "front {n} has written {} requests in {} bytes: {}",
+        sent.len(),
+        bytes.len(),
+        ids.join(" ")
+    ));
     let mut reader = Reader::new(stream);
-    let answer = reader.value();
-    let elapsed = begun.elapsed().as_millis() as u64;
-    match &answer {
-        Ok(answer) => record.line(format!("client {n}: {id} after {elapsed} ms: {}", answer.short())),
-        Err(error) => {
-            record.line(format!("client {n}: {id} after {elapsed} ms: NO ANSWER: {error}"));
-            // For the record alone: what comes later on.
-            let _ = reader.stream.set_read_timeout(Some(Duration::from_secs(8)));
-            let late = reader.value().map_or_else(|e| e.to_string(), |answer| answer.short());
-            record.line(format!("client {n}: {id} after {} ms, too late: {late}", begun.elapsed().as_millis()));
+    let mut lost = 0;
+    for (id, is_honest) in &sent {
+        let who = if *is_honest {
+            "honest"
+        } else {
+            "withdrawn key"
+        };
+        match reader.value() {
+            Ok(answer) => record.line(format!("front {n}: {id} ({who}): {}", answer.short())),
+            Err(error) => {
+                record.line(format!("front {n}: {id} ({who}): NO ANSWER: {error}"));
+                lost += usize::from(*is_honest);
+            }
         }
     }
-    answer.is_ok() && elapsed <= WAIT_MS + SLACK_MS
+    lost
 }
