Review case 6: requests written after the kill are not counted as taken

The closed sockets of a killed ingress take a write without an error; such requests were counted as lost.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -163,8 +163,8 @@
             std::thread::sleep(SLOW);
             written = stream.write_all(&bytes[at..]);
         }
-        if written.is_err() {
-            return; // not taken: its last byte was not written
+        if written.is_err() || counts.killed.load(Ordering::SeqCst) {
+            return; // not taken: its last byte was not written to a running ingress
         }
         add(&counts.sent);
         record.line(format!("client {n} has sent {id}"));
