Review case 6: long values alone, none written slowly

The slow writing was a second disruption and isn't needed: with values of 60 KiB alone the limit of 32 MB is passed within about a second.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,5 +1,5 @@
-//! Requests and answers with long values, some of them written slowly, at an ingress with a small memory limit. The platform kills an
-//! ingress that takes more memory than its limit, and what that ingress held is lost.
+//! Requests and answers with long values at an ingress with a small memory limit. The platform kills an ingress that takes more memory
+//! than its limit, and what that ingress held is lost.
 
 #[path = "../lib-2/standin.rs"]
 mod standin;
@@ -25,9 +25,6 @@
 /// Requests a second in all: four times 140.
 const RATE: u64 = 560;
 const CLIENTS: usize = 400;
-/// One in so many is written in two pieces, with this pause between.
-const SLOW_ONE_IN: u64 = 5;
-const SLOW: Duration = Duration::from_millis(1000);
 const SECONDS: u64 = 15;
 
 fn value(id: &str) -> Vec<u8> {
@@ -153,16 +150,7 @@
             options.as_bytes(),
             &value(&id),
         ]);
-        let at = if turn % SLOW_ONE_IN == 0 {
-            bytes.len() - 20
-        } else {
-            bytes.len()
-        };
-        let mut written = stream.write_all(&bytes[..at]);
-        if at < bytes.len() && written.is_ok() {
-            std::thread::sleep(SLOW);
-            written = stream.write_all(&bytes[at..]);
-        }
+        let written = stream.write_all(&bytes);
         if written.is_err() || counts.killed.load(Ordering::SeqCst) {
             return; // not taken: its last byte was not written to a running ingress
         }
