Review: each run.sh names its record.txt, and what they share stands beside them

The shared stand-ins and script were in a folder that looked like a case. They are review/standin-2.rs and review/run-2.sh now; no check changed.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,7 +1,7 @@
 //! A client pipelines three requests and reads slowly. The answer to the first has arrived whole from its backend; the backend
 //! of the second resets its connection in the middle of its answer. The first must still reach the client whole.
 
-#[path = "../lib-2/standin.rs"]
+#[path = "../standin-2.rs"]
 mod standin;
 
 use standin::{
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,7 +1,7 @@
 //! Requests and answers with long values at an ingress with a small memory limit. The platform kills an ingress that takes more memory
 //! than its limit, and what that ingress held is lost.
 
-#[path = "../lib-2/standin.rs"]
+#[path = "../standin-2.rs"]
 mod standin;
 
 use standin::{
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,7 +1,7 @@
 //! Some clients write long bodies slowly. Other clients' requests, whose bodies are written at once, must still get a final answer
 //! before their time is over.
 
-#[path = "../lib-2/standin.rs"]
+#[path = "../standin-2.rs"]
 mod standin;
 
 use standin::{
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,7 +1,7 @@
 //! A front's connection carries requests of two tenants, each with a token of its own. A key is withdrawn, and requests signed with it
 //! that were under way still arrive. They are denied; the other tenant's requests on the same connection must be answered.
 
-#[path = "../lib-2/standin.rs"]
+#[path = "../standin-2.rs"]
 mod standin;
 
 use standin::{
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,7 +1,7 @@
 //! A planned restart while a client reads a long answer slowly. The ingress has written the answer to its socket before it is told to end.
 //! The client, which goes on using its connection, sends its next request meanwhile. It must still get the whole answer.
 
-#[path = "../lib-2/standin.rs"]
+#[path = "../standin-2.rs"]
 mod standin;
 
 use standin::{
--- a/review/lib-2/run.sh
+++ b/review/run-2.sh
@@ -1,6 +1,5 @@
-# Sourced by the run.sh of each case, which has set CASE. Runs the case from the root with a temporary folder.
+# Sourced by the run.sh of each case, which has set CASE and RECORD. Runs the case from the root with a temporary folder.
 set -u
-here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 program="target/review-2/case-$CASE"
 [ -x "$program" ] || { echo "could not run: build first: review/build-2.sh"; exit 2; }
@@ -13,7 +12,6 @@
 }
 trap end EXIT
 trap 'exit 2' HUP INT TERM
-RECORD="$here/record.txt"
 export RUN_COMMAND FOLDER RECORD TROUBLE="${TROUBLE:-1}"
 timeout -k 5 115 "$program"
 code=$?
