Clients: a connection is closed only once its client can have its answers

Cause: an answer counted as delivered once written. A close over an unread next request resets the connection, and the kernel discards what the client had no room for. abort_stream dropped the connection at once, a half-closed one was dropped after 1 s.

Change: one way to end a connection (finish, half-close, close after the client or 15 s after the last write of more than 32 KiB), for broken answers, shutdown, eviction, invalid commands and closes for memory; at its exit the process reads what is left in its sockets. The last log line now counts connections whose answers may not have been received.

--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -157,12 +157,27 @@
         self.surplus
     }
 
-    /// When a connection that has a request without an answer, or an answer that is not fully written, last made progress (a
-    /// command was read or part of an answer written); none if there is no such connection.
-    pub fn last_progress(&self) -> Option<Micros> {
-        let is_busy = |conn: &&ClientConnection| !conn.answers.is_empty() || !conn.out.is_empty();
-        let connections = self.connections.iter().map(|(_, conn)| conn);
-        connections.filter(is_busy).map(|conn| conn.since).max()
+    /// When a connection that has a request without an answer, or an answer that its client has not received, last made progress
+    /// (a command was read or part of an answer written); none if there is no such connection. Progress of what the kernel holds
+    /// for a client can't be seen, so it is taken to be `now`.
+    pub fn last_progress(&self, now: Micros) -> Option<Micros> {
+        let progress = |conn: &ClientConnection| {
+            if !conn.answers.is_empty() || !conn.out.is_empty() {
+                Some(conn.since)
+            } else {
+                conn.may_be_receiving(now).then_some(now)
+            }
+        };
+        let connections = self.connections.iter();
+        connections.filter_map(|(_, conn)| progress(conn)).max()
+    }
+
+    /// Number of connections whose clients may not have received all their answers.
+    pub fn undelivered_connections(&self, now: Micros) -> usize {
+        let connections = self.connections.iter();
+        connections
+            .filter(|(_, conn)| !conn.out.is_empty() || conn.may_be_receiving(now))
+            .count()
     }
 
     /// Number of bytes of answers that are not written to their clients' sockets.
--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -123,17 +123,13 @@
     }
 
     /// Ends a streamed answer that can't be completed. If part of it may have been sent, the connection is closed so that the
-    /// client notices the truncation; earlier answers are flushed first, as far as the socket accepts them. If nothing of it was
-    /// passed on, because earlier answers are pending or unread, `text` is sent as its answer instead.
+    /// client notices the truncation, once the client has received the earlier answers. If nothing of it was passed on, because
+    /// earlier answers are pending or unread, `text` is sent as its answer instead.
     pub fn abort_stream(&mut self, origin: Origin, text: &[u8]) {
         if !self.has_begun_stream(origin) {
             return self.answer(origin, text);
         }
-        let Some(conn) = self.connection_of(origin) else {
-            return;
-        };
-        let _ = conn.stream.write(&conn.out[conn.written..]);
-        self.close_with_answers(origin.key, CloseReason::BrokenStream);
+        self.finish(origin.key, CloseReason::BrokenStream);
     }
 
     /// Writes the pending output of all queued connections. Batches the answers that a connection gets in a turn into one write.
@@ -158,7 +154,7 @@
             match conn.stream.write(&conn.out[conn.written..]) {
                 Ok(n) => {
                     conn.written += n;
-                    conn.since = now.max(conn.since);
+                    conn.record_written(n, now);
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
--- a/crates/ingress/src/client/closing.rs
+++ b/crates/ingress/src/client/closing.rs
@@ -1,11 +1,12 @@
 //! Closing client connections: eviction, timeouts and graceful shutdown.
 
-use super::connection::{AnswerSlot, ClientConnection};
+use super::connection::{AnswerSlot, ClientConnection, UNREAD_TIMEOUT};
 use super::eviction::{ConnectionId, IdleKind, IdleState, OldestConnection};
 use super::lost_answers::CloseReason;
 use super::reading::LINGER_TIMEOUT;
 use super::{ClientEvent, Clients};
 use slab::Slab;
+use std::io::Read;
 use std::net::Shutdown;
 use wrenfork_decision::Micros;
 
@@ -17,8 +18,8 @@
 const COMMAND_TIMEOUT: Micros = 2_300_000;
 /// How long a long body may take to arrive after its memory was granted. Bounded because other bodies wait for the memory.
 const BODY_TIMEOUT: Micros = 15_000_000;
-/// How long a client may go without reading its answers before the connection is removed.
-const UNREAD_TIMEOUT: Micros = 15_000_000;
+/// Maximum number of reads from a connection when the process exits; enough for the largest receive buffer of the kernel.
+const MAX_FINAL_READS: usize = 512;
 
 /// The idle state of a connection; none if the connection is closed or may not be evicted.
 fn idle_state(connections: &Slab<ClientConnection>, id: ConnectionId) -> Option<IdleState> {
@@ -49,21 +50,50 @@
     /// Half-closes a connection if it is closing and all its answers are written, or if it is idle during graceful shutdown.
     pub(super) fn close_if_done(&mut self, key: usize, now: Micros) {
         let conn = &self.connections[key];
-        if conn.closing && conn.answers.is_empty() && conn.out.is_empty() && !conn.half_closed {
+        if conn.is_done() {
             self.half_close(key, now);
         } else if self.draining && conn.is_idle() {
             self.half_close_if_idle(key, now);
         }
     }
 
-    /// Shuts down the sending side of a connection and gives the client [`LINGER_TIMEOUT`] to close it. If the socket were closed
-    /// at once, further input from the client would trigger a TCP reset, and the client could lose the last answer.
+    /// Ends a connection that takes no further command: the requests on it that have no answer are reported as disconnected and
+    /// counted as lost, and what is in its output buffer is still sent. Further input stays unread, so that the client knows that it
+    /// may send it again. The connection is closed once its client has received the output, see [`close_if_done`](Self::close_if_done).
+    pub(super) fn finish(&mut self, key: usize, reason: CloseReason) {
+        let conn = &mut self.connections[key];
+        self.lost_answers.record(reason, conn);
+        conn.closing = true;
+        conn.input_ignored = true;
+        conn.discard_input();
+        self.granted -= std::mem::take(&mut conn.granted);
+        let answers = conn.take_answers();
+        let unanswered = answers.iter().filter_map(AnswerSlot::unanswered);
+        self.events
+            .extend(unanswered.map(ClientEvent::Disconnected));
+        conn.recount(&mut self.memory_used);
+        self.write_later(key);
+        self.update_idle_state(key);
+    }
+
+    /// Like [`finish`](Self::finish), but discards the output that is not written yet.
+    pub(super) fn finish_without_output(&mut self, key: usize, reason: CloseReason) {
+        self.finish(key, reason);
+        let conn = &mut self.connections[key];
+        conn.out = Vec::new();
+        conn.written = 0;
+        conn.recount(&mut self.memory_used);
+    }
+
+    /// Shuts down the sending side of a connection and gives the client time to receive its answers and to close it. If the socket
+    /// were closed before, unread or further input from the client would trigger a TCP reset: the kernel would discard what the
+    /// client has no room for yet.
     fn half_close(&mut self, key: usize, now: Micros) {
         let conn = &mut self.connections[key];
         let _ = conn.stream.shutdown(Shutdown::Write);
         conn.half_closed = true;
         self.lingering += usize::from(conn.linger_until.is_none());
-        conn.linger_until = Some(now + LINGER_TIMEOUT);
+        conn.linger_until = Some(conn.delivery_deadline().max(now + LINGER_TIMEOUT));
     }
 
     /// Reads from an idle connection, and closes it if nothing has arrived.
@@ -168,6 +198,17 @@
         }
     }
 
+    /// Reads and discards the input of a connection that is about to be closed while its client may still be receiving answers. The
+    /// kernel goes on sending these after the close, unless input was left unread: that resets the connection.
+    fn discard_unread_input(&mut self, key: usize) {
+        let conn = &mut self.connections[key];
+        for _ in 0..MAX_FINAL_READS {
+            if !matches!(conn.stream.read(&mut self.read_buffer), Ok(bytes) if bytes > 0) {
+                return;
+            }
+        }
+    }
+
     /// Closes a connection on which answers may be due, and counts these as lost.
     pub(super) fn close_with_answers(&mut self, key: usize, reason: CloseReason) {
         self.lost_answers.record(reason, &self.connections[key]);
@@ -189,10 +230,7 @@
         self.lingering -= usize::from(conn.linger_until.is_some());
         self.surplus -= usize::from(conn.surplus);
         self.memory_used -= conn.counted_memory;
-        let unanswered = conn.answers.iter().filter_map(|slot| match slot {
-            AnswerSlot::Waiting(id) | AnswerSlot::Streaming(id) => Some(*id),
-            AnswerSlot::Ready(_) => None,
-        });
+        let unanswered = conn.answers.iter().filter_map(AnswerSlot::unanswered);
         self.events
             .extend(unanswered.map(ClientEvent::Disconnected));
     }
@@ -214,6 +252,7 @@
             let is_expired =
                 |conn: &ClientConnection| conn.linger_until.is_some_and(|until| until <= now);
             for key in self.keys_where(is_expired) {
+                self.discard_unread_input(key);
                 self.remove(key);
             }
         }
@@ -241,6 +280,15 @@
 
     // ---- Graceful shutdown ----
 
+    /// Prepares all connections for the exit of the process.
+    pub fn close_all(&mut self, now: Micros) {
+        for key in self.keys_where(|conn| conn.may_be_receiving(now)) {
+            let conn = &mut self.connections[key];
+            let _ = conn.stream.shutdown(Shutdown::Write);
+            self.discard_unread_input(key);
+        }
+    }
+
     /// Starts the graceful shutdown: connections are closed as soon as they are idle. Unless `accepting`, the listener is closed
     /// and connections that have not sent anything yet are closed as well.
     pub fn drain(&mut self, now: Micros, accepting: bool) {
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -25,6 +25,11 @@
 /// Spare capacity in bytes that a large output buffer grows by.
 const OUTPUT_RESERVE: usize = 16 * 1024;
 
+/// How long a client may go without reading its answers before the connection is removed.
+pub(super) const UNREAD_TIMEOUT: Micros = 15_000_000;
+/// Number of bytes that a client's kernel receives even if the client reads nothing: half of the usual initial receive window.
+pub(super) const RECEIVED_UNREAD_BYTES: usize = 32 * 1024;
+
 /// The connection that a request came on, and its position among the commands of that connection.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Origin {
@@ -47,6 +52,16 @@
     Ready(Vec<u8>),
 }
 
+impl AnswerSlot {
+    /// The request, if it has no complete answer.
+    pub(super) fn unanswered(&self) -> Option<RequestId> {
+        match self {
+            AnswerSlot::Waiting(id) | AnswerSlot::Streaming(id) => Some(*id),
+            AnswerSlot::Ready(_) => None,
+        }
+    }
+}
+
 /// A client connection. During a handover it is serialized without its stream (`S = ()`). The field order is part of the handover
 /// format.
 #[derive(Serialize, Deserialize)]
@@ -70,6 +85,10 @@
     pub(super) out: Vec<u8>,
     /// Number of bytes of `out` that are written to the socket.
     pub(super) written: usize,
+    /// Number of bytes written since the last write that its client had [`UNREAD_TIMEOUT`] to receive. Not serialized: it is unknown
+    /// after a handover.
+    #[serde(skip)]
+    pub(super) recent_output: usize,
     /// Bytes of memory that this connection contributes to the total of all connections.
     pub(super) counted_memory: usize,
     /// Time of the last command or successful write, or of acceptance or a half-close while idle.
@@ -122,6 +141,7 @@
             ready_bytes: 0,
             out: Vec::new(),
             written: 0,
+            recent_output: 0,
             counted_memory: 0,
             since: now,
             command_since: now,
@@ -155,7 +175,7 @@
     /// The current idle state; none if the connection may not be evicted.
     pub(super) fn current_idle_state(&self) -> Option<IdleState> {
         let state = |kind, since| Some(IdleState { kind, since });
-        if self.input_ignored {
+        if self.half_closed && self.input_ignored && self.recent_output <= RECEIVED_UNREAD_BYTES {
             return state(IdleKind::HalfClosed, self.since);
         }
         if !self.has_nothing_pending() {
@@ -170,6 +190,33 @@
         state(IdleKind::BetweenRequests, self.since)
     }
 
+    /// Whether all answers are written and no further command will be answered.
+    pub(super) fn is_done(&self) -> bool {
+        self.closing && self.answers.is_empty() && self.out.is_empty() && !self.half_closed
+    }
+
+    /// Records that bytes were written to the socket.
+    pub(super) fn record_written(&mut self, bytes: usize, now: Micros) {
+        if now > self.since + UNREAD_TIMEOUT {
+            self.recent_output = 0;
+        }
+        self.recent_output = self.recent_output.saturating_add(bytes);
+        self.since = now.max(self.since);
+    }
+
+    /// Until when the kernel may hold output that the client has no room for yet; 0 if the client certainly has room for all of it.
+    pub(super) fn delivery_deadline(&self) -> Micros {
+        if self.recent_output <= RECEIVED_UNREAD_BYTES {
+            return 0;
+        }
+        self.since + UNREAD_TIMEOUT
+    }
+
+    /// Whether the kernel may hold output that the client has no room for yet.
+    pub(super) fn may_be_receiving(&self, now: Micros) -> bool {
+        now <= self.delivery_deadline()
+    }
+
     /// Whether the answer at the front of `answers` is streamed.
     pub(super) fn is_streaming(&self) -> bool {
         matches!(self.answers.front(), Some(AnswerSlot::Streaming(_)))
@@ -183,6 +230,20 @@
         Some(slot)
     }
 
+    /// Removes all pending answers.
+    pub(super) fn take_answers(&mut self) -> VecDeque<AnswerSlot> {
+        self.first_index += self.answers.len() as u64;
+        self.ready_bytes = 0;
+        self.stream_begun = false;
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Discards a partial command.
+    pub(super) fn discard_input(&mut self) {
+        self.buf = Vec::new();
+        self.waits_for_grant = false;
+    }
+
     /// Whether reading from the connection must stop. It also stops during a streamed answer: if the stream breaks, the
     /// connection is closed, and the answers to any later requests on it would be lost.
     pub(super) fn must_pause_reading(&self) -> bool {
@@ -253,8 +314,7 @@
     pub(super) fn abort_command(&mut self, reason: &str) {
         self.answer_error(reason);
         self.closing = true;
-        self.buf = Vec::new();
-        self.waits_for_grant = false;
+        self.discard_input();
     }
 
     /// Position of an answer in the queue; none if the request was already answered.
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -29,7 +29,8 @@
     }
 
     /// Recounts the memory of a connection. While the total is over the limit, closes the connection with the longest partial
-    /// command after sending it an error; if there are no partial commands, closes the connection that holds the most memory.
+    /// command after sending it an error; if there are no partial commands, closes the connection that holds the most memory,
+    /// without the answers that are not written yet.
     pub(super) fn enforce_memory(&mut self, key: usize) {
         let Some(conn) = self.connections.get_mut(key) else {
             return;
@@ -42,7 +43,7 @@
                 return;
             };
             if conn.buf.is_empty() {
-                self.close_with_answers(key, CloseReason::Memory);
+                self.finish_without_output(key, CloseReason::Memory);
                 continue;
             }
             conn.abort_command("no memory for the rest of a command");
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -196,7 +196,7 @@
             has_more: self.clients.has_more(),
         };
         self.shutdown
-            .may_exit(self.now, open, || self.clients.last_progress())
+            .may_exit(self.now, open, || self.clients.last_progress(self.now))
     }
 
     /// Closes and removes sockets and files that the next process must not find.
@@ -209,13 +209,15 @@
         if let Some(socket) = &self.socket {
             socket.remove();
         }
+        self.clients.close_all(self.now);
         let lost = self.clients.lost_answers;
         tracing::info!(
             broken_stream = lost.broken_stream,
             memory = lost.memory,
             unread = lost.unread,
             unwritten_bytes = self.clients.unwritten_bytes(),
-            "stopped; requests without an answer by reason, and bytes of answers not written"
+            undelivered_connections = self.clients.undelivered_connections(self.now),
+            "stopped; requests without an answer by reason, bytes of answers not written, and connections with answers not received"
         );
     }
 }
