Memory: what backend connections hold is shared, counted and bounded

Cause: each attempt copied the body, each idle backend connection kept up to 64 KiB, and answers were read however much their clients had unread. No limit counted any of it.

Change: one copy of a body over 1 KiB; idle connections keep 2 KiB a buffer; answers that are being received have an eighth of the memory, and stay unread at the backend while that is taken or while their client has 64 KiB unread and clients hold over half of their share.

--- a/crates/ingress/src/backend.rs
+++ b/crates/ingress/src/backend.rs
@@ -11,6 +11,7 @@
 mod ending;
 mod endpoints;
 mod handover;
+mod memory;
 mod pool;
 mod race;
 mod reading;
@@ -28,6 +29,7 @@
 pub use activity::{Activity, AttemptEnd, ConnectionHandle};
 pub use connection::Connection;
 pub use handover::SavedBackends;
+pub use reading::BackendReadiness;
 pub use starting::{StartTimes, Started};
 pub use streaming::AnswerBuffering;
 
@@ -63,6 +65,16 @@
     streams: Vec<ConnectionHandle>,
     /// Connections whose streamed answers wait for memory to be buffered, oldest first. They are paused.
     waiting_for_memory: Vec<ConnectionHandle>,
+    /// Connections whose answers are left unread because memory is short, oldest first.
+    deferred: Vec<ConnectionHandle>,
+    /// When the unread answers were last checked.
+    deferred_checked_at: Micros,
+    /// Bytes held for answers that are being received.
+    answer_memory_used: usize,
+    /// Limit in bytes on `answer_memory_used`.
+    max_answer_memory: usize,
+    /// Whether clients hold much memory, so that answers are read in smaller pieces.
+    clients_short: bool,
     /// When the waiting answers were last checked.
     memory_checked_at: Micros,
     /// When waiting answers are logged next at the earliest.
@@ -82,9 +94,14 @@
 }
 
 impl Backends {
-    /// Creates an empty set of backends. `tokens` maps a connection key to its poll token; see [`Backends::set_timeouts`] for the
+    /// Creates an empty set of backends. `max_answer_memory` limits the bytes held for answers that are being received, `tokens` maps a connection key to its poll token; see [`Backends::set_timeouts`] for the
     /// other parameters.
-    pub fn new(connect_timeout: Micros, keepalive: Micros, tokens: fn(usize) -> Token) -> Self {
+    pub fn new(
+        connect_timeout: Micros,
+        keepalive: Micros,
+        max_answer_memory: usize,
+        tokens: fn(usize) -> Token,
+    ) -> Self {
         Backends {
             connections: Slab::new(),
             pools: HashMap::new(),
@@ -98,6 +115,11 @@
             relayed: 0,
             streams: Vec::new(),
             waiting_for_memory: Vec::new(),
+            deferred: Vec::new(),
+            deferred_checked_at: 0,
+            answer_memory_used: 0,
+            max_answer_memory,
+            clients_short: false,
             memory_checked_at: 0,
             next_memory_warning: 0,
             read_queue: Vec::new(),
--- a/crates/ingress/src/backend/command.rs
+++ b/crates/ingress/src/backend/command.rs
@@ -4,7 +4,7 @@
 use wrenfork_wire::call::Body;
 
 /// Capacity in bytes that an idle connection keeps for its next command.
-const MAX_IDLE_CAPACITY: usize = 32 * 1024;
+const MAX_IDLE_CAPACITY: usize = 2 * 1024;
 
 /// A command and how much of it is written. Empty, and thus completely written, while the connection is idle. The field order
 /// is part of the handover format.
--- a/crates/ingress/src/backend/connecting.rs
+++ b/crates/ingress/src/backend/connecting.rs
@@ -71,7 +71,7 @@
         };
         for candidate in race.candidates {
             if self.get(candidate).is_some() {
-                self.connections.remove(candidate.key);
+                self.take_connection(candidate.key);
             }
         }
     }
--- a/crates/ingress/src/backend/connection.rs
+++ b/crates/ingress/src/backend/connection.rs
@@ -49,6 +49,9 @@
     /// Whether memory was granted to buffer the whole streamed answer. Not serialized: a successor grants it again.
     #[serde(skip)]
     pub(super) has_answer_memory: bool,
+    /// Bytes that this connection contributes to the memory for answers that are being received.
+    #[serde(skip)]
+    pub(super) counted_memory: usize,
 }
 
 /// A race of connects, held by the connection that carries the attempt.
@@ -87,6 +90,7 @@
             long_answer: None,
             paused: false,
             has_answer_memory: false,
+            counted_memory: 0,
         }
     }
 
--- a/crates/ingress/src/backend/ending.rs
+++ b/crates/ingress/src/backend/ending.rs
@@ -55,7 +55,7 @@
         if self.connections[key].race.is_some() {
             self.mark_established(key);
         }
-        let conn = self.connections.remove(key); // dropping the stream closes it and deregisters it from the poll
+        let conn = self.take_connection(key); // dropping the stream closes it and deregisters it from the poll
         if conn.activity.is_some() {
             return;
         }
@@ -101,7 +101,7 @@
             return;
         };
         for key in std::mem::take(&mut pool.idle) {
-            drop(self.connections.remove(key));
+            drop(self.take_connection(key));
         }
     }
 
--- a/crates/ingress/src/backend/handover.rs
+++ b/crates/ingress/src/backend/handover.rs
@@ -51,6 +51,7 @@
             long_answer,
             paused,
             has_answer_memory,
+            counted_memory,
         } = self;
         Connection {
             stream,
@@ -70,6 +71,7 @@
             long_answer,
             paused,
             has_answer_memory,
+            counted_memory,
         }
     }
 }
@@ -121,6 +123,8 @@
         }
         self.resume_streams(&connections);
         self.connections = connections.into_iter().collect();
+        let keys: Vec<usize> = self.connections.iter().map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.recount(key));
         let connections = &self.connections;
         for pool in self.pools.values_mut() {
             pool.idle.retain(|key| connections.contains(*key));
--- a/crates/ingress/src/backend/pool.rs
+++ b/crates/ingress/src/backend/pool.rs
@@ -56,7 +56,7 @@
                     return Some(key);
                 }
                 read => {
-                    drop(self.connections.remove(key));
+                    drop(self.take_connection(key));
                     if read.is_ok_and(|n| n > 0) {
                         let pool = self.pools.get_mut(&backend)?;
                         pool.unsolicited.record_bytes();
--- a/crates/ingress/src/backend/race.rs
+++ b/crates/ingress/src/backend/race.rs
@@ -94,7 +94,7 @@
         winner: ConnectionHandle,
         now: Micros,
     ) {
-        let winning_connection = self.connections.remove(winner.key);
+        let winning_connection = self.take_connection(winner.key);
         let token = (self.tokens)(handle.key);
         let Some(conn) = self.connections.get_mut(handle.key) else {
             return;
--- a/crates/ingress/src/backend/reading.rs
+++ b/crates/ingress/src/backend/reading.rs
@@ -2,8 +2,9 @@
 
 use super::activity::Activity;
 use super::connection::Connection;
+use super::memory::MAX_IDLE_BUFFER;
 use super::response::{interpret, Response};
-use super::{Backends, READ_BUFFER_BYTES};
+use super::Backends;
 use crate::stream::is_not_ready;
 use std::io::{ErrorKind, Read};
 use wrenfork_decision::{Micros, Outcome};
@@ -16,6 +17,17 @@
 /// Number of idle connections kept to a backend that often sends unsolicited bytes, to detect whether it still does.
 const MAX_IDLE_IF_UNSOLICITED: usize = 2;
 
+/// A readiness event of a connection, and what may be done about it.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendReadiness {
+    /// The connection can be written to.
+    pub writable: bool,
+    /// The backend has closed its side.
+    pub closed: bool,
+    /// What has arrived may be read.
+    pub may_read: bool,
+}
+
 /// Whether a connection is kept after an answer was parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reuse {
@@ -36,8 +48,13 @@
 
 impl Backends {
     /// Handles a readiness event; `closed` is set if the backend has closed its side. `now` is the current time, not the time of
-    /// the turn, because an idle connection's rest time is shorter than a tick.
-    pub fn ready(&mut self, key: usize, now: Micros, writable: bool, closed: bool) {
+    /// the turn, because an idle connection's rest time is shorter than a tick. Unless `may_read`, what has arrived is left unread.
+    pub fn ready(&mut self, key: usize, now: Micros, readiness: BackendReadiness) {
+        let BackendReadiness {
+            writable,
+            closed,
+            may_read,
+        } = readiness;
         let Some(conn) = self.connections.get_mut(key) else {
             return;
         };
@@ -56,8 +73,13 @@
         if self.connections.get(key).is_some_and(has_unfinished_race) {
             self.mark_established(key);
         }
-        if self.connections.contains(key) {
+        if !self.connections.contains(key) {
+            return;
+        }
+        if may_read {
             self.read(key, now, closed);
+        } else {
+            self.defer_reading(key);
         }
     }
 
@@ -73,12 +95,19 @@
     /// Reads from a connection. With `until_would_block`, reads until the socket would block, since no further readiness event
     /// will come for the data it already holds.
     pub(super) fn read(&mut self, key: usize, now: Micros, until_would_block: bool) {
+        self.read_bounded(key, now, until_would_block);
+        self.recount(key);
+    }
+
+    fn read_bounded(&mut self, key: usize, now: Micros, until_would_block: bool) {
         for _ in 0..READS_PER_TURN {
+            let memory_short = self.is_memory_short();
             let conn = &mut self.connections[key];
             if conn.paused {
                 return;
             }
-            let bytes = match conn.stream.read(&mut self.read_buffer) {
+            let limit = conn.read_limit(memory_short);
+            let bytes = match conn.stream.read(&mut self.read_buffer[..limit]) {
                 Ok(bytes) if bytes > 0 => bytes,
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) if is_not_ready(&error) => return,
@@ -97,7 +126,7 @@
                 return self.remove(key);
             }
             // A short read has emptied the socket; new data triggers another readiness event.
-            if bytes < READ_BUFFER_BYTES && !until_would_block {
+            if bytes < limit && !until_would_block {
                 return;
             }
         }
@@ -176,7 +205,7 @@
         conn.activity = None;
         conn.since = now;
         conn.buf.clear();
-        conn.buf.shrink_to(READ_BUFFER_BYTES);
+        conn.buf.shrink_to(MAX_IDLE_BUFFER);
         conn.command.clear();
         pool.idle.push(key);
         Reuse::Keep
--- a/crates/ingress/src/backend/streaming.rs
+++ b/crates/ingress/src/backend/streaming.rs
@@ -92,6 +92,7 @@
             }
             Err(_) => self.break_connection(handle.key, now),
         }
+        self.recount(handle.key);
         AnswerBuffering::Continues
     }
 
@@ -134,6 +135,7 @@
         if self.get(handle).is_none() {
             return;
         }
+        let kept_buffer = self.kept_stream_buffer();
         let conn = &mut self.connections[handle.key];
         let Some(long_answer) = &mut conn.long_answer else {
             return;
@@ -144,7 +146,7 @@
         conn.buf.clear();
         match progress {
             Ok(None) => {
-                conn.buf.shrink_to(READ_BUFFER_BYTES);
+                conn.buf.shrink_to(kept_buffer);
                 conn.paused = false;
                 conn.answer_since = now;
                 self.read_queue.push(handle);
@@ -152,6 +154,7 @@
             Ok(Some(end)) => self.end_stream(handle.key, &end, now),
             Err(_) => self.break_connection(handle.key, now),
         }
+        self.recount(handle.key);
     }
 
     /// Ends an attempt whose streamed answer is complete.
--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -78,7 +78,7 @@
             .is_some_and(|(_, position)| position == 0)
     }
 
-    fn position_of(&self, origin: Origin) -> Option<(&ClientConnection, usize)> {
+    pub(super) fn position_of(&self, origin: Origin) -> Option<(&ClientConnection, usize)> {
         let conn = self.connections.get(origin.key)?;
         let position = conn.position_of(origin)?;
         (conn.serial == origin.serial).then_some((conn, position))
@@ -89,7 +89,7 @@
     pub fn stream_buffer(&mut self, origin: Origin) -> Option<&mut Vec<u8>> {
         // When memory is short, a stream gets more data only once its buffer is empty. All streams thus make progress, and each
         // buffers at most one read.
-        let max = if self.memory_used > self.max_memory / 2 {
+        let max = if self.is_memory_short() {
             1
         } else {
             MAX_STREAMED
--- a/crates/ingress/src/client/commands.rs
+++ b/crates/ingress/src/client/commands.rs
@@ -5,9 +5,10 @@
 use super::{ClientEvent, Clients};
 use crate::authenticator::PresentedToken;
 use crate::request_metrics::RequestEnd;
+use std::ops::Range;
 use wrenfork_decision::{Micros, RequestId};
 use wrenfork_identity::Refusal;
-use wrenfork_wire::call::{Call, CallError};
+use wrenfork_wire::call::{Call, CallError, MAX_COPIED_BODY};
 use wrenfork_wire::resp;
 
 /// Answer to a request that there is no capacity for. The request was not started, so the client may safely retry.
@@ -98,12 +99,16 @@
         length: usize,
     ) -> Option<Result<Call, CallError>> {
         let body = self.arguments.get(resp::BODY_INDEX);
-        if body.is_some_and(|body| body.len() > resp::MAX_VALUE) {
+        let body_length = body.map_or(0, Range::len);
+        if body_length > resp::MAX_VALUE {
             let command = self.extract_long_command(key, *offset, length);
             return Call::read_long(command, &self.arguments, &self.vocabulary);
         }
         let command = &self.connections[key].buf[*offset..*offset + length];
         *offset += length;
+        if body_length > MAX_COPIED_BODY {
+            return Call::read_long(command.to_vec(), &self.arguments, &self.vocabulary);
+        }
         Call::read(command, &self.arguments, &self.vocabulary)
     }
 
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -15,7 +15,7 @@
 const MAX_UNANSWERED: usize = 256;
 /// Maximum number of bytes of answers buffered for one client; at the limit, reading from the connection stops. The limit is low
 /// enough that the buffers fit in memory even if every file descriptor belongs to a client that sends requests and never reads.
-const MAX_UNREAD: usize = 64 * 1024;
+pub(super) const MAX_UNREAD: usize = 64 * 1024;
 /// Number of consecutive errors after which a connection is closed. Each error costs an answer, and some clients never stop.
 const MAX_ERRORS: u32 = 8;
 
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -1,7 +1,7 @@
 //! Memory limits across all client connections. Limits per connection don't bound the total, so beyond the total limit the
 //! connections that hold the most memory are closed. A long body is read only once the memory for it has been granted.
 
-use super::connection::{ClientConnection, Origin};
+use super::connection::{ClientConnection, Origin, MAX_UNREAD};
 use super::eviction::ConnectionId;
 use super::lost_answers::CloseReason;
 use super::Clients;
@@ -28,6 +28,25 @@
         limit.saturating_sub(self.memory_used + reserved)
     }
 
+    /// Whether clients hold more than half of the memory for their partial commands and unsent answers.
+    pub fn is_memory_short(&self) -> bool {
+        self.memory_used > self.max_memory / 2
+    }
+
+    /// Whether another answer to the client of this request would only wait for the client to read, or for an earlier answer.
+    pub fn is_congested(&self, origin: Origin) -> bool {
+        let Some((conn, position)) = self.position_of(origin) else {
+            return false;
+        };
+        let unsent = conn.out.len() - conn.written;
+        let held = if position == 0 {
+            unsent
+        } else {
+            unsent + conn.ready_bytes
+        };
+        held >= MAX_UNREAD
+    }
+
     /// Recounts the memory of a connection. While the total is over the limit, closes the connection with the longest partial
     /// command after sending it an error; if there are no partial commands, closes the connection that holds the most memory,
     /// without the answers that are not written yet.
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -14,6 +14,7 @@
 mod endpoints;
 mod handover;
 mod listener;
+mod memory;
 mod operators;
 mod signals;
 mod streaming;
@@ -57,6 +58,8 @@
 /// Divisor of the memory limit: one share of this size is for open requests, and another for the clients' buffers (partly
 /// received requests and answers not yet read).
 const MEMORY_DIVISOR: usize = 4;
+/// Divisor of the memory limit: a share of this size is for answers that are being received from backends.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
 /// Interval between sweeps for idle connections and old requests.
 const SWEEP_INTERVAL: Micros = 500_000;
 
@@ -177,7 +180,9 @@
             return Duration::ZERO;
         }
         // Timers expire only when `now` advances, which takes at least one tick.
-        let timer = if self.backends.any_waiting_for_memory() {
+        let waits_for_memory =
+            self.backends.any_waiting_for_memory() || self.backends.any_deferred();
+        let timer = if waits_for_memory {
             self.now
         } else {
             self.timers.next().min(self.discovery.wake_at)
--- a/crates/ingress/src/ingress/builder.rs
+++ b/crates/ingress/src/ingress/builder.rs
@@ -7,7 +7,9 @@
     backend_token, client_token, operator_token, CONTROL, COUNTER, DISCOVERY, LISTENER, MANAGEMENT,
     PEERS, SIGNALS,
 };
-use super::{Ingress, Limits, UnfinishedWork, MEMORY_DIVISOR, SWEEP_INTERVAL};
+use super::{
+    Ingress, Limits, UnfinishedWork, ANSWER_MEMORY_DIVISOR, MEMORY_DIVISOR, SWEEP_INTERVAL,
+};
 use crate::admission::AdmissionGuard;
 use crate::backend::Backends;
 use crate::client::Clients;
@@ -283,7 +285,12 @@
                 memory,
                 control.admission,
             ),
-            backends: Backends::new(active.connect_timeout, active.keepalive, backend_token),
+            backends: Backends::new(
+                active.connect_timeout,
+                active.keepalive,
+                config.memory / ANSWER_MEMORY_DIVISOR,
+                backend_token,
+            ),
             discovery,
             reloader,
             routing: Routing::new(active.routes, may_change_pools),
--- a/crates/ingress/src/ingress/turn.rs
+++ b/crates/ingress/src/ingress/turn.rs
@@ -2,6 +2,7 @@
 
 use super::tokens::EventSource;
 use super::Ingress;
+use crate::backend::BackendReadiness;
 use crate::variant::Variant;
 use mio::event::Event;
 
@@ -67,6 +68,7 @@
         self.clients.flush(self.now);
         self.continue_streams();
         self.check_waiting_answers();
+        self.resume_deferred_answers();
         let requests_memory = self.requests.memory_used();
         self.clients.grant_memory(requests_memory, self.now);
         self.take_client_events();
@@ -90,9 +92,17 @@
                 // Use the current time instead of `self.now`: a connection that has carried an answer is reused after less than
                 // a tick.
                 let now = self.clock.now();
-                self.backends
-                    .ready(key, now, readiness.writable, readiness.closed);
+                let backend_readiness = BackendReadiness {
+                    writable: readiness.writable,
+                    closed: readiness.closed,
+                    may_read: self.may_read_answer(key),
+                };
+                self.backends.ready(key, now, backend_readiness);
                 self.process_events();
+                // Answers that clients can read at once must not add up until the end of the turn.
+                if self.clients.is_memory_short() {
+                    self.clients.flush(self.now);
+                }
             }
             EventSource::Client(key) => {
                 self.clients.ready(key, self.now, readiness.writable);
--- a/crates/ingress/src/takeover/tests.rs
+++ b/crates/ingress/src/takeover/tests.rs
@@ -93,7 +93,7 @@
     let listener = Listener::unix(listener, Vec::new());
     let mut clients = Clients::new(listener, enforced.vocabulary, 1 << 20, Token);
     clients.resume(state.clients, &mut sockets, poll.registry());
-    let mut backends = Backends::new(1, 1, |key| Token(1_000 + key));
+    let mut backends = Backends::new(1, 1, 1, |key| Token(1_000 + key));
     backends.resume(state.backends, &mut sockets, poll.registry());
     let outgoing = OutgoingState {
         source_pairs: &state.source_pairs,
--- /dev/null
+++ b/crates/ingress/tests/memory_limit.rs
@@ -0,0 +1,218 @@
+//! The memory limit of the process, with hundreds of clients that each hold a little.
+
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use wrenfork_testbed::service_fixture::{
+    command, read_value, Act, Backend, Client, Ingress, Setup,
+};
+
+/// Memory limit of the ingress in MB.
+const MEMORY_MB: usize = 32;
+/// Length of a body or value that is not streamed.
+const SHORT_BYTES: usize = 60 * 1024;
+/// Length of a streamed answer.
+const LONG_BYTES: usize = 1 << 20;
+/// Number of backends: enough that none is overloaded.
+const BACKENDS: usize = 40;
+
+/// An ingress under test, with the peak of its private memory.
+struct Watched {
+    ingress: Ingress,
+    peak_kib: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+}
+
+/// The private memory of a process in KiB; the pages of its program file are not counted.
+fn private_kib(id: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+    kib.unwrap_or(0)
+}
+
+impl Watched {
+    fn start(backends: &[Backend], memory_mb: usize) -> Watched {
+        let backends: Vec<&Backend> = backends.iter().collect();
+        let mut setup = Setup::of(env!("CARGO_BIN_EXE_wrenfork"), &backends);
+        setup.memory_mb = memory_mb;
+        let ingress = setup.start();
+        let peak_kib = Arc::new(AtomicUsize::new(0));
+        let stop = Arc::new(AtomicBool::new(false));
+        let (peak, stopped, id) = (Arc::clone(&peak_kib), stop.clone(), ingress.child.id());
+        thread::spawn(move || {
+            while !stopped.load(Ordering::SeqCst) {
+                peak.fetch_max(private_kib(id), Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(5));
+            }
+        });
+        Watched {
+            ingress,
+            peak_kib,
+            stop,
+        }
+    }
+
+    /// Checks that the process is alive and never held more than `memory_mb` of private memory.
+    fn check(mut self, memory_mb: usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        let peak_kib = self.peak_kib.load(Ordering::SeqCst);
+        assert!(
+            peak_kib < memory_mb * 1024,
+            "a peak of {peak_kib} KiB of private memory:\n{}",
+            self.ingress.log()
+        );
+        assert!(self.ingress.child.try_wait().unwrap().is_none());
+    }
+}
+
+fn backends(act: impl Fn(&[String]) -> Act + Clone + Send + Sync + 'static) -> Vec<Backend> {
+    (0..BACKENDS).map(|_| Backend::start(act.clone())).collect()
+}
+
+/// A value of `length` bytes made from the request's id.
+fn value(id: &str, length: usize) -> String {
+    id.bytes().cycle().take(length).map(char::from).collect()
+}
+
+/// A complete answer whose value has `length` bytes.
+fn answer(args: &[String], length: usize) -> Vec<u8> {
+    format!(
+        "*3\r\n${length}\r\n{}\r\n$-1\r\n$-1\r\n",
+        value(&args[2], length)
+    )
+    .into_bytes()
+}
+
+/// A request of a customer of its own, with a body of `length` bytes and `fields` more options.
+fn request(customer: usize, id: &str, length: usize, fields: usize) -> Vec<u8> {
+    let options = format!(
+        "c=refer,t=starter,d=7900,units=1,spread=1,first=0{}",
+        ",x=1".repeat(fields)
+    );
+    let customer = format!("{customer:016x}");
+    command(&["CALL.POST", &customer, id, &options, &"b".repeat(length)])
+}
+
+/// Runs `client` for each of `count` clients in parallel, and returns the results.
+fn in_parallel<T: Send>(count: usize, client: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    thread::scope(|scope| {
+        let client = &client;
+        let clients: Vec<_> = (0..count).map(|n| scope.spawn(move || client(n))).collect();
+        clients
+            .into_iter()
+            .map(|client| client.join().unwrap())
+            .collect()
+    })
+}
+
+/// Guards against memory that no limit counted: the copy of a body that each attempt made, and the buffers that each idle
+/// connection to a backend kept.
+#[test]
+fn requests_and_answers_of_60_kib_keep_the_memory_limit() {
+    let backends =
+        backends(|args| Act::Later(Duration::from_millis(200), answer(args, SHORT_BYTES)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let served = in_parallel(110, |n| {
+        let mut client = watched.ingress.client();
+        let ids = (0..12).map(|round| format!("r{n}-{round}"));
+        ids.filter(|id| client.ask(&request(n, id, SHORT_BYTES, 0)) == value(id, SHORT_BYTES))
+            .count()
+    });
+    let served: usize = served.into_iter().sum();
+    assert!(served > 900, "{served} of 1320 requests were served");
+    watched.check(MEMORY_MB);
+}
+
+/// Guards against memory that grows with the number of clients that read a long answer slowly.
+#[test]
+fn clients_that_read_long_answers_slowly_keep_the_memory_limit() {
+    let backends = backends(|args| Act::Say(answer(args, LONG_BYTES)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let complete = in_parallel(240, |n| {
+        let mut client = watched.ingress.client();
+        let id = format!("r{n}");
+        client.send(&request(n, &id, 10, 0));
+        // A slow start, after which the rest is read at once.
+        let (mut first, mut chunk) = (Vec::new(), [0; 512]);
+        for _ in 0..20 {
+            let Ok(bytes) = client.0.read(&mut chunk) else {
+                return false;
+            };
+            first.extend_from_slice(&chunk[..bytes]);
+            thread::sleep(Duration::from_millis(100));
+        }
+        if first.starts_with(b"-") {
+            return false;
+        }
+        let mut rest = first.chain(&client.0);
+        read_value(&mut rest).is_some_and(|answer| answer.concat() == value(&id, LONG_BYTES))
+    });
+    let complete = complete.into_iter().filter(|complete| *complete).count();
+    assert_eq!(complete, 240, "answers that arrived completely");
+    watched.check(MEMORY_MB);
+}
+
+/// Guards against memory that grows with the number of clients that stop in the middle of a request, and against other clients
+/// that are not served meanwhile.
+#[test]
+fn clients_that_stop_in_a_request_keep_the_memory_limit() {
+    let backends = backends(|args| Act::Say(answer(args, 10)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let stopped: Vec<Client> = (0..300)
+        .map(|n| {
+            let mut client = watched.ingress.client();
+            let body = if n % 2 == 0 { SHORT_BYTES } else { 200 * 1024 };
+            let bytes = request(n, &format!("s{n}"), body, 0);
+            client.0.set_nonblocking(true).unwrap();
+            // What doesn't fit into the kernel's buffers is not written either.
+            let _ = client.0.write(&bytes[..bytes.len() / 10 * 9]);
+            client
+        })
+        .collect();
+    let answers = in_parallel(20, |n| {
+        let mut client = watched.ingress.client();
+        client.ask(&request(1000 + n, &format!("r{n}"), 10, 0))
+    });
+    for (n, answer) in answers.iter().enumerate() {
+        assert_eq!(*answer, value(&format!("r{n}"), 10));
+    }
+    drop(stopped);
+    watched.check(MEMORY_MB);
+}
+
+/// Guards against memory that grows with commands of very many short options.
+#[test]
+fn commands_with_very_many_options_keep_the_memory_limit() {
+    let backends = backends(|args| Act::Later(Duration::from_millis(50), answer(args, 10)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let answers = in_parallel(300, |n| {
+        let mut client = watched.ingress.client();
+        client.ask(&request(n, &format!("r{n}"), 10, 15_000))
+    });
+    assert!(answers.iter().all(|answer| !answer.is_empty()));
+    watched.check(MEMORY_MB);
+}
+
+/// Guards against closing the connection of a client that reads slowly, with answers due on it, because these are read from
+/// backends faster than by the client.
+#[test]
+fn answers_to_slow_clients_wait_at_their_backends() {
+    const REQUESTS: usize = 128;
+    let backends = backends(|args| Act::Say(answer(args, SHORT_BYTES)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let answered = in_parallel(8, |n| {
+        let mut client = watched.ingress.client();
+        let calls = (0..REQUESTS).map(|r| request(100 * n + r, &format!("r{n}-{r}"), 10, 0));
+        client.send(&calls.collect::<Vec<_>>().concat());
+        let answers = (0..REQUESTS).map(|_| {
+            thread::sleep(Duration::from_millis(20));
+            client.answer()
+        });
+        answers.take_while(|answer| !answer.is_empty()).count()
+    });
+    assert_eq!(answered, [REQUESTS; 8], "answers by client");
+    watched.check(MEMORY_MB);
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -29,6 +29,8 @@
 const GET_ARGUMENTS: usize = 4;
 /// Length of the CR LF after the text of a bulk string, in bytes.
 const BULK_END_BYTES: usize = 2;
+/// Length in bytes up to which a body is copied into the command of each attempt. All attempts share one copy of a longer body.
+pub const MAX_COPIED_BODY: usize = 1024;
 /// Maximum size of a command without its options and body, in bytes. Used to reserve buffer capacity.
 const COMMAND_OVERHEAD_BYTES: usize = 112;
 const MICROS_PER_MILLISECOND: Micros = 1_000;
@@ -52,11 +54,11 @@
     options_end: usize,
     /// The authentication token, if the options contained one.
     token: Option<Vec<u8>>,
-    /// A long body as received. All attempts share this one copy.
+    /// A body longer than [`MAX_COPIED_BODY`], as received. All attempts share this one copy.
     body: Option<Body>,
 }
 
-/// A body that is too long to copy: the command as received, and the position of the body in it.
+/// A body that is too long to be copied for each attempt: the command as received, and the position of the body in it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Body {
     command: Arc<Vec<u8>>,
@@ -138,7 +140,7 @@
         Some(Call::parse(is_post, &arguments, vocabulary))
     }
 
-    /// Parses a complete command with a long body, which is kept as received instead of being copied.
+    /// Parses a complete command with a body longer than [`MAX_COPIED_BODY`], which is kept as received instead of being copied.
     ///
     /// # Errors
     ///
@@ -200,7 +202,8 @@
             .all
             .get(resp::BODY_INDEX)
             .map_or(0, |body| body.len());
-        let capacity = COMMAND_OVERHEAD_BYTES + options.len() + body.min(resp::MAX_VALUE);
+        let capacity =
+            COMMAND_OVERHEAD_BYTES + options.len() + if body > MAX_COPIED_BODY { 0 } else { body };
         let mut bytes = Vec::with_capacity(capacity);
         resp::put_array(&mut bytes, arguments.all.len());
         for argument in &arguments.all[..GET_ARGUMENTS - 1] {
@@ -213,7 +216,7 @@
         bytes.extend_from_slice(&options[wait.end..]);
         let options_end = bytes.len();
         for argument in &arguments.all[GET_ARGUMENTS..] {
-            if argument.len() <= resp::MAX_VALUE {
+            if argument.len() <= MAX_COPIED_BODY {
                 resp::put_bulk(&mut bytes, &[argument]);
             }
         }
@@ -235,7 +238,7 @@
         self.token.take()
     }
 
-    /// The long body, if there is one. [`Call::write`] does not append the body: the caller sends it directly after the bytes from `write`.
+    /// The shared body, if it is longer than [`MAX_COPIED_BODY`]. [`Call::write`] does not append the body: the caller sends it directly after the bytes from `write`.
     pub fn body(&self) -> Option<Body> {
         self.body.clone()
     }
