Bodies: the wait for memory ends in the client's time, and short ones pass

Change: a body that doesn't fit holds up no shorter one; after three quarters of d it is answered -BUSY and the rest is discarded; the client's time counts from the beginning of the wait; at the end of a shutdown all waiting bodies are rejected.

--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -41,8 +41,17 @@
 
 /// An event on a client connection that the event loop has to handle.
 pub enum ClientEvent {
-    /// A request was parsed. The id is unique within this ingress; the origin tells where its answer goes.
-    Request(RequestId, Origin, Call),
+    /// A request was parsed.
+    Request {
+        /// Unique within this ingress.
+        id: RequestId,
+        /// Tells where the answer goes.
+        origin: Origin,
+        /// The request.
+        call: Call,
+        /// When the client may have sent the last byte, at the earliest: its time counts from there.
+        sent_at: Micros,
+    },
     /// The client disconnected before this request was answered.
     Disconnected(RequestId),
     /// A request was rejected or failed before it was given an id. The `u8` is the index of its class.
@@ -97,6 +106,8 @@
     pub lost_answers: LostAnswers,
     /// Bytes of memory granted to long request bodies that are being read.
     granted: usize,
+    /// Number of requests rejected because there was no memory for their bodies in time.
+    pub bodies_rejected: u64,
     /// Connections waiting for a memory grant, first come first.
     grant_queue: VecDeque<eviction::ConnectionId>,
 }
@@ -135,6 +146,7 @@
             writable: Vec::new(),
             lost_answers: LostAnswers::default(),
             granted: 0,
+            bodies_rejected: 0,
             grant_queue: VecDeque::new(),
         }
     }
--- a/crates/ingress/src/client/closing.rs
+++ b/crates/ingress/src/client/closing.rs
@@ -271,6 +271,9 @@
         let Some(conn) = self.connections.get_mut(key) else {
             return;
         };
+        if conn.rejected_bytes > 0 {
+            return self.remove(key); // the request is answered
+        }
         if conn.buf.is_empty() {
             return self.close_if_idle(key, now);
         }
@@ -312,6 +315,9 @@
     if conn.closing || conn.surplus || conn.stalled {
         return false;
     }
+    if conn.rejected_bytes > 0 {
+        return true;
+    }
     if conn.buf.is_empty() {
         !conn.has_sent_command()
     } else {
--- a/crates/ingress/src/client/commands.rs
+++ b/crates/ingress/src/client/commands.rs
@@ -12,7 +12,7 @@
 use wrenfork_wire::resp;
 
 /// Answer to a request that there is no capacity for. The request was not started, so the client may safely retry.
-const BUSY: &[u8] = b"-BUSY\r\n";
+pub(super) const BUSY: &[u8] = b"-BUSY\r\n";
 const PONG: &[u8] = b"+PONG\r\n";
 const OK: &[u8] = b"+OK\r\n";
 const UNKNOWN_COMMAND: &[u8] = b"-ERR unknown command\r\n";
@@ -31,7 +31,7 @@
     /// Parses and handles all complete commands in a connection's input buffer. Returns false if reading from the connection must
     /// stop for now.
     pub(super) fn parse_commands(&mut self, key: usize, now: Micros) -> bool {
-        self.parse_complete_commands(key, now) && self.request_grant(key)
+        self.parse_complete_commands(key, now) && self.request_grant(key, now)
     }
 
     fn parse_complete_commands(&mut self, key: usize, now: Micros) -> bool {
@@ -171,7 +171,13 @@
         };
         conn.errors = 0;
         conn.answers.push_back(AnswerSlot::Waiting(id));
-        let event = ClientEvent::Request(id, origin, call);
+        let sent_at = conn.body_sent_at.take().unwrap_or(now);
+        let event = ClientEvent::Request {
+            id,
+            origin,
+            call,
+            sent_at,
+        };
         self.events.push_back(event);
         Parsed::Handled
     }
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -123,6 +123,17 @@
     pub(super) granted_at: Micros,
     /// A long body waits for a memory grant.
     pub(super) waits_for_grant: bool,
+    /// When the long body that is being received could have been sent completely at the earliest, for all that was seen of it. Not
+    /// serialized: a successor counts from the time at which it has received the body.
+    #[serde(skip)]
+    pub(super) body_sent_at: Option<Micros>,
+    /// When a long body that waits for a memory grant is rejected. Not serialized: a successor sets it again.
+    #[serde(skip)]
+    pub(super) grant_deadline: Micros,
+    /// Number of bytes that are still to be received of a rejected body, and are discarded. Not serialized: such a connection is not
+    /// handed over.
+    #[serde(skip)]
+    pub(super) rejected_bytes: usize,
     /// The state last reported to the eviction queues; none if the connection may not be evicted.
     #[serde(skip)]
     pub(super) idle_state: Option<IdleState>,
@@ -158,6 +169,9 @@
             granted: 0,
             granted_at: 0,
             waits_for_grant: false,
+            body_sent_at: None,
+            grant_deadline: 0,
+            rejected_bytes: 0,
             idle_state: None,
         }
     }
--- a/crates/ingress/src/client/handover.rs
+++ b/crates/ingress/src/client/handover.rs
@@ -62,6 +62,9 @@
             granted,
             granted_at,
             waits_for_grant,
+            body_sent_at: _,
+            grant_deadline: _,
+            rejected_bytes: _,
             idle_state,
         } = self;
         ClientConnection {
@@ -91,6 +94,9 @@
             granted,
             granted_at,
             waits_for_grant,
+            body_sent_at: None,
+            grant_deadline: Micros::MAX,
+            rejected_bytes: 0,
             idle_state,
         }
     }
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -1,12 +1,15 @@
 //! Memory limits across all client connections. Limits per connection don't bound the total, so beyond the total limit the
 //! connections that hold the most memory are closed. A long body is read only once the memory for it has been granted.
 
+use super::commands::BUSY;
 use super::connection::{ClientConnection, Origin, MAX_UNREAD};
 use super::eviction::ConnectionId;
 use super::lost_answers::CloseReason;
-use super::Clients;
+use super::{ClientEvent, Clients};
+use crate::request_metrics::RequestEnd;
+use crate::requests::MAX_WAIT;
 use wrenfork_decision::Micros;
-use wrenfork_wire::resp;
+use wrenfork_wire::{call, resp};
 
 /// Memory that buffering the longest answer takes, in bytes: its value and what is read beyond it.
 const LONGEST_ANSWER_BYTES: usize = resp::MAX_LONG_VALUE + 64 * 1024;
@@ -15,6 +18,16 @@
 /// Denominator of [`BUFFERED_SHARE`].
 const BUFFERED_DIVISOR: usize = 4;
 
+/// A body is rejected once it has waited for memory for three quarters of the time that its client waits: the rest of that time is
+/// for serving it.
+const GRANT_WAIT_SHARE: Micros = 3;
+/// Denominator of [`GRANT_WAIT_SHARE`].
+const GRANT_WAIT_DIVISOR: Micros = 4;
+/// Index of the options among the arguments of a request.
+const OPTIONS_INDEX: usize = 3;
+/// Assumed wait of a client, in microseconds, if the options of its command are not valid.
+const UNKNOWN_WAIT: Micros = 2_000_000;
+
 impl Clients {
     /// Bytes available for buffering long answers up to their end, for the answer to this request. Unless it is the next one that its
     /// client receives, room is left for an answer that is: the answers behind that one are held until it is complete.
@@ -73,7 +86,7 @@
 
     /// Queues a connection for a memory grant if a long body is arriving on it. Returns false if reading from the connection must
     /// stop until the grant.
-    pub(super) fn request_grant(&mut self, key: usize) -> bool {
+    pub(super) fn request_grant(&mut self, key: usize, now: Micros) -> bool {
         let conn = &mut self.connections[key];
         if conn.granted > 0 || conn.buf.is_empty() || conn.closing {
             return true;
@@ -87,37 +100,93 @@
             return true;
         }
         if !std::mem::replace(&mut conn.waits_for_grant, true) {
+            let wait = call::announced_wait(&conn.buf, &self.arguments).unwrap_or(UNKNOWN_WAIT);
+            conn.body_sent_at = Some(now);
+            conn.grant_deadline = now + wait.min(MAX_WAIT) / GRANT_WAIT_DIVISOR * GRANT_WAIT_SHARE;
             let serial = conn.serial;
             self.grant_queue.push_back(ConnectionId { key, serial });
         }
         false
     }
 
-    /// Grants memory to waiting long bodies, first come first, as long as the grants and `requests_memory`, the bytes held by
-    /// open requests, stay within the limit.
+    /// Grants memory to waiting long bodies, in the order in which they came, as long as the grants and `requests_memory`, the bytes
+    /// held by open requests, stay within the limit. A body that doesn't fit doesn't hold up shorter ones behind it, and is rejected
+    /// at its grant deadline.
     pub fn grant_memory(&mut self, requests_memory: usize, now: Micros) {
-        while let Some(ConnectionId { key, serial }) = self.grant_queue.front().copied() {
-            let conn = self.connections.get_mut(key);
+        if self.grant_queue.is_empty() {
+            return;
+        }
+        for id in std::mem::take(&mut self.grant_queue) {
+            let ConnectionId { key, serial } = id;
+            let conn = self.connections.get(key);
             let conn = conn.filter(|conn| conn.serial == serial && conn.waits_for_grant);
-            let length = conn
-                .as_ref()
-                .and_then(|conn| resp::long_command(&conn.buf, &mut self.arguments));
-            if let (Some(conn), Some(length)) = (conn, length) {
-                if requests_memory + self.granted + length > self.max_memory {
-                    return;
-                }
-                self.granted += length;
-                conn.granted = length;
-                conn.granted_at = now;
-                conn.command_since = now.max(conn.command_since);
-                conn.waits_for_grant = false;
-                conn.stalled = false;
-                conn.buf
-                    .reserve_exact(length.saturating_sub(conn.buf.len()));
-                conn.recount(&mut self.memory_used);
-                self.read_later(key);
+            let Some(conn) = conn else {
+                continue;
+            };
+            let deadline = conn.grant_deadline;
+            let Some(length) = resp::long_command(&conn.buf, &mut self.arguments) else {
+                continue;
+            };
+            if self.rejecting || now >= deadline {
+                self.reject_body(key, length);
+            } else if requests_memory + self.granted + length <= self.max_memory {
+                self.grant(key, length, now);
+            } else {
+                self.grant_queue.push_back(id);
             }
-            self.grant_queue.pop_front();
         }
     }
+
+    /// Grants memory to the long body of a connection, whose command has `length` bytes.
+    fn grant(&mut self, key: usize, length: usize, now: Micros) {
+        let conn = &mut self.connections[key];
+        self.granted += length;
+        conn.granted = length;
+        conn.granted_at = now;
+        conn.command_since = now.max(conn.command_since);
+        conn.waits_for_grant = false;
+        conn.stalled = false;
+        conn.buf
+            .reserve_exact(length.saturating_sub(conn.buf.len()));
+        conn.recount(&mut self.memory_used);
+        self.read_later(key);
+    }
+
+    /// Rejects a request whose body waits for memory, and discards the rest of the body as it arrives.
+    fn reject_body(&mut self, key: usize, length: usize) {
+        self.bodies_rejected += 1;
+        let class = self.arguments.get(OPTIONS_INDEX).and_then(|options| {
+            let options = self.connections[key].buf.get(options.clone())?;
+            self.vocabulary.announced_class(options)
+        });
+        if let Some(class) = class {
+            let end = ClientEvent::EndedEarly(class, RequestEnd::Rejected);
+            self.events.push_back(end);
+        }
+        let conn = &mut self.connections[key];
+        conn.rejected_bytes = length.saturating_sub(conn.buf.len());
+        conn.discard_input();
+        conn.body_sent_at = None;
+        conn.stalled = false;
+        conn.queue_answer(BUSY);
+        conn.recount(&mut self.memory_used);
+        self.write_later(key);
+        self.read_later(key);
+    }
+
+    /// Ends the connections that are still receiving a rejected body, once their pending answers are sent: how much of it is left is
+    /// not handed over to another process.
+    pub fn close_after_rejected_bodies(&mut self) {
+        for (_, conn) in &mut self.connections {
+            conn.closing |= std::mem::take(&mut conn.rejected_bytes) > 0;
+        }
+    }
+
+    /// When the next waiting body is rejected unless it gets its memory; [`Micros::MAX`] if none waits.
+    pub fn next_grant_deadline(&self) -> Micros {
+        let waiting = self.grant_queue.iter();
+        let connections = waiting.filter_map(|id| self.connections.get(id.key));
+        let deadlines = connections.map(|conn| conn.grant_deadline);
+        deadlines.min().unwrap_or(Micros::MAX)
+    }
 }
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -185,7 +185,8 @@
         let timer = if waits_for_memory {
             self.now
         } else {
-            self.timers.next().min(self.discovery.wake_at)
+            let timers = self.timers.next().min(self.discovery.wake_at);
+            timers.min(self.clients.next_grant_deadline())
         };
         let wake_at = timer.max(self.now + self.limits.tick);
         Duration::from_micros(wake_at.saturating_sub(self.clock.now()))
@@ -221,8 +222,9 @@
             memory = lost.memory,
             unread = lost.unread,
             unwritten_bytes = self.clients.unwritten_bytes(),
+            bodies_rejected = self.clients.bodies_rejected,
             undelivered_connections = self.clients.undelivered_connections(self.now),
-            "stopped; requests without an answer by reason, bytes of answers not written, and connections with answers not received"
+            "stopped; requests without an answer by reason, bytes of answers not written, bodies rejected for memory, and connections with answers not received"
         );
     }
 }
--- a/crates/ingress/src/ingress/handover.rs
+++ b/crates/ingress/src/ingress/handover.rs
@@ -131,6 +131,7 @@
             |lease| {
                 let mut this = ingress.borrow_mut();
                 this.take_client_events();
+                this.clients.close_after_rejected_bodies();
                 let bytes = encode::<V>(layout, &this.outgoing_state(), lease)?;
                 Ok(successor.hand_over(&bytes)?)
             },
--- a/crates/ingress/tests/long/bodies.rs
+++ b/crates/ingress/tests/long/bodies.rs
@@ -1,10 +1,14 @@
 //! Request bodies too long to be read without a memory grant.
 
 use super::support::{long_answer, peak_rss_kib, setup, value, MAX_VALUE_BYTES};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
-use wrenfork_testbed::service_fixture::{call, command, serve, served, until, Act, Backend};
+use std::time::{Duration, Instant};
+use wrenfork_testbed::service_fixture::{
+    call, command, serve, served, until, Act, Backend, Client, Ingress,
+};
 
 fn post(class: &str, id: &str, body: &str) -> Vec<u8> {
     static NEXT: AtomicUsize = AtomicUsize::new(50_000);
@@ -197,3 +201,88 @@
     assert!(client.answer().contains("the class is unknown"));
     assert_eq!(client.answer(), "value of r2");
 }
+
+/// A request of class `refer` with a body of `length` bytes, whose client waits for `wait_ms`.
+fn post_with_wait(id: &str, length: usize, wait_ms: u32) -> Vec<u8> {
+    let deadline = format!(",d={wait_ms},");
+    let bytes = post("refer", id, &value(id, length));
+    let head_end = bytes.len() - length - 2;
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let head = head.replace(",d=5000,", &deadline);
+    [head.as_bytes(), &bytes[head_end..]].concat()
+}
+
+/// Starts clients that have written half of a body of maximum length and go on a little at a time, until `stop` is set.
+fn start_slow_writers(ingress: &Ingress, count: usize, stop: &Arc<AtomicBool>) {
+    for n in 0..count {
+        let (mut client, stop) = (ingress.client(), stop.clone());
+        let bytes = post_with_wait(&format!("w{n}"), MAX_VALUE_BYTES, 5000);
+        client
+            .0
+            .set_write_timeout(Some(Duration::from_millis(100)))
+            .unwrap();
+        thread::spawn(move || {
+            let half = bytes.len() / 2;
+            // A body that has no memory yet is not read, so not all of it can be written.
+            let _ = client.0.write(&bytes[..half]);
+            for piece in bytes[half..].chunks(1024) {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let _ = client.0.write(piece);
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+    }
+}
+
+/// Guards against short bodies that wait behind long ones, which arrive slowly, until their clients have given up: memory was granted in
+/// the order of arrival alone.
+#[test]
+fn a_body_with_memory_does_not_wait_behind_one_without() {
+    let backend = Backend::start(serve);
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    start_slow_writers(&ingress, 3, &stop);
+    thread::sleep(Duration::from_millis(300));
+    for n in 0..5 {
+        let id = format!("b{n}");
+        let start = Instant::now();
+        let answer = ingress.client().ask(&post_with_wait(&id, 100 * 1024, 3000));
+        assert_eq!(answer, format!("value of {id}"));
+        assert!(start.elapsed() < Duration::from_secs(3));
+    }
+    stop.store(true, Ordering::SeqCst);
+}
+
+/// Guards against a request without any answer, because its body waits for memory for longer than its client waits. The connection
+/// stays usable.
+#[test]
+fn a_body_that_gets_no_memory_is_rejected_in_its_clients_time() {
+    let backend = Backend::start(serve);
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    start_slow_writers(&ingress, 1, &stop);
+    thread::sleep(Duration::from_millis(300));
+    let mut client = ingress.client();
+    let mut writer = Client(client.0.try_clone().unwrap());
+    let start = Instant::now();
+    let body = post_with_wait("b0", MAX_VALUE_BYTES, 2000);
+    let writing = thread::spawn(move || {
+        writer.send(&body);
+        writer.send(&call("refer", "next", 2000));
+    });
+    assert_eq!(client.answer(), "-BUSY");
+    let elapsed = start.elapsed();
+    assert!(
+        elapsed < Duration::from_secs(2),
+        "rejected after {elapsed:?}"
+    );
+    writing.join().unwrap();
+    assert_eq!(client.answer(), "value of next");
+    stop.store(true, Ordering::SeqCst);
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -95,6 +95,23 @@
     }
 }
 
+/// How long the client of a partly received command waits, in microseconds, if its options have arrived and are valid. `arguments`
+/// are those that have arrived completely.
+pub fn announced_wait(buf: &[u8], arguments: &[Range<usize>]) -> Option<Micros> {
+    let options = arguments.get(GET_ARGUMENTS - 1)?;
+    let options = Options::parse(&buf[options.clone()]).ok()?;
+    options.wait.map(|wait| wait.micros)
+}
+
+impl Vocabulary {
+    /// Index of the class that the options of a partly received command name; none if they are not valid.
+    pub fn announced_class(&self, options: &[u8]) -> Option<u8> {
+        let options = Options::parse(options).ok()?;
+        let index = self.class_index(options.class?).ok()?;
+        u8::try_from(index).ok()
+    }
+}
+
 /// The arguments of a command. `all` includes the command name.
 struct Arguments<'a> {
     all: &'a [&'a [u8]],
