--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -41,17 +41,8 @@
 
 /// An event on a client connection that the event loop has to handle.
 pub enum ClientEvent {
-    /// A request was parsed.
-    Request {
-        /// Unique within this ingress.
-        id: RequestId,
-        /// Tells where the answer goes.
-        origin: Origin,
-        /// The request.
-        call: Call,
-        /// When the client may have sent the last byte, at the earliest: its time counts from there.
-        sent_at: Micros,
-    },
+    /// A request was parsed. The id is unique within this ingress; the origin tells where its answer goes.
+    Request(RequestId, Origin, Call),
     /// The client disconnected before this request was answered.
     Disconnected(RequestId),
     /// A request was rejected or failed before it was given an id. The `u8` is the index of its class.
--- a/crates/ingress/src/client/closing.rs
+++ b/crates/ingress/src/client/closing.rs
@@ -271,7 +271,7 @@
         let Some(conn) = self.connections.get_mut(key) else {
             return;
         };
-        if conn.rejected_bytes > 0 {
+        if conn.unsaved.rejected_bytes > 0 {
             return self.remove(key); // the request is answered
         }
         if conn.buf.is_empty() {
@@ -315,7 +315,7 @@
     if conn.closing || conn.surplus || conn.stalled {
         return false;
     }
-    if conn.rejected_bytes > 0 {
+    if conn.unsaved.rejected_bytes > 0 {
         return true;
     }
     if conn.buf.is_empty() {
--- a/crates/ingress/src/client/commands.rs
+++ b/crates/ingress/src/client/commands.rs
@@ -171,13 +171,10 @@
         };
         conn.errors = 0;
         conn.answers.push_back(AnswerSlot::Waiting(id));
-        let sent_at = conn.body_sent_at.take().unwrap_or(now);
-        let event = ClientEvent::Request {
-            id,
-            origin,
-            call,
-            sent_at,
-        };
+        // The client's time counts from the moment at which it may have sent the last byte.
+        let sent_at = conn.unsaved.body_sent_at.take().unwrap_or(now);
+        call.wait = call.wait.saturating_sub(now.saturating_sub(sent_at));
+        let event = ClientEvent::Request(id, origin, call);
         self.events.push_back(event);
         Parsed::Handled
     }
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -62,6 +62,31 @@
     }
 }
 
+/// State of a client connection that is not handed over to another process.
+#[derive(Default)]
+pub(super) struct UnsavedState {
+    /// Number of bytes written since the last write that the client had [`UNREAD_TIMEOUT`] to receive. After a handover all earlier
+    /// bytes count.
+    pub(super) recent_output: usize,
+    /// When the long body that is being received could have been sent completely at the earliest, for all that was seen of it. A
+    /// successor counts from the time at which it has received the body.
+    pub(super) body_sent_at: Option<Micros>,
+    /// When a long body that waits for a memory grant is rejected; after a handover it is not rejected.
+    pub(super) grant_deadline: Option<Micros>,
+    /// Number of bytes of a rejected body that are still to be received and discarded. The connection ends at a handover.
+    pub(super) rejected_bytes: usize,
+}
+
+impl UnsavedState {
+    /// State after a handover, when it is unknown how much the client has received.
+    pub(super) fn after_handover() -> Self {
+        UnsavedState {
+            recent_output: usize::MAX,
+            ..UnsavedState::default()
+        }
+    }
+}
+
 /// A client connection. During a handover it is serialized without its stream (`S = ()`). The field order is part of the handover
 /// format.
 #[derive(Serialize, Deserialize)]
@@ -85,10 +110,9 @@
     pub(super) out: Vec<u8>,
     /// Number of bytes of `out` that are written to the socket.
     pub(super) written: usize,
-    /// Number of bytes written since the last write that its client had [`UNREAD_TIMEOUT`] to receive. Not serialized: it is unknown
-    /// after a handover.
+    /// State that is not handed over.
     #[serde(skip)]
-    pub(super) recent_output: usize,
+    pub(super) unsaved: UnsavedState,
     /// Bytes of memory that this connection contributes to the total of all connections.
     pub(super) counted_memory: usize,
     /// Time of the last command or successful write, or of acceptance or a half-close while idle.
@@ -123,17 +147,6 @@
     pub(super) granted_at: Micros,
     /// A long body waits for a memory grant.
     pub(super) waits_for_grant: bool,
-    /// When the long body that is being received could have been sent completely at the earliest, for all that was seen of it. Not
-    /// serialized: a successor counts from the time at which it has received the body.
-    #[serde(skip)]
-    pub(super) body_sent_at: Option<Micros>,
-    /// When a long body that waits for a memory grant is rejected. Not serialized: a successor sets it again.
-    #[serde(skip)]
-    pub(super) grant_deadline: Micros,
-    /// Number of bytes that are still to be received of a rejected body, and are discarded. Not serialized: such a connection is not
-    /// handed over.
-    #[serde(skip)]
-    pub(super) rejected_bytes: usize,
     /// The state last reported to the eviction queues; none if the connection may not be evicted.
     #[serde(skip)]
     pub(super) idle_state: Option<IdleState>,
@@ -152,7 +165,7 @@
             ready_bytes: 0,
             out: Vec::new(),
             written: 0,
-            recent_output: 0,
+            unsaved: UnsavedState::default(),
             counted_memory: 0,
             since: now,
             command_since: now,
@@ -169,9 +182,6 @@
             granted: 0,
             granted_at: 0,
             waits_for_grant: false,
-            body_sent_at: None,
-            grant_deadline: 0,
-            rejected_bytes: 0,
             idle_state: None,
         }
     }
@@ -189,7 +199,10 @@
     /// The current idle state; none if the connection may not be evicted.
     pub(super) fn current_idle_state(&self) -> Option<IdleState> {
         let state = |kind, since| Some(IdleState { kind, since });
-        if self.half_closed && self.input_ignored && self.recent_output <= RECEIVED_UNREAD_BYTES {
+        if self.half_closed
+            && self.input_ignored
+            && self.unsaved.recent_output <= RECEIVED_UNREAD_BYTES
+        {
             return state(IdleKind::HalfClosed, self.since);
         }
         if !self.has_nothing_pending() {
@@ -212,15 +225,15 @@
     /// Records that bytes were written to the socket.
     pub(super) fn record_written(&mut self, bytes: usize, now: Micros) {
         if now > self.since + UNREAD_TIMEOUT {
-            self.recent_output = 0;
+            self.unsaved.recent_output = 0;
         }
-        self.recent_output = self.recent_output.saturating_add(bytes);
+        self.unsaved.recent_output = self.unsaved.recent_output.saturating_add(bytes);
         self.since = now.max(self.since);
     }
 
     /// Until when the kernel may hold output that the client has no room for yet; 0 if the client certainly has room for all of it.
     pub(super) fn delivery_deadline(&self) -> Micros {
-        if self.recent_output <= RECEIVED_UNREAD_BYTES {
+        if self.unsaved.recent_output <= RECEIVED_UNREAD_BYTES {
             return 0;
         }
         self.since + UNREAD_TIMEOUT
--- a/crates/ingress/src/client/handover.rs
+++ b/crates/ingress/src/client/handover.rs
@@ -1,6 +1,6 @@
 //! Handover of client connections to the next process.
 
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, UnsavedState};
 use super::eviction::ConnectionId;
 use super::Clients;
 use crate::stream::Stream;
@@ -45,7 +45,7 @@
             ready_bytes,
             out,
             written,
-            recent_output: _,
+            unsaved: _,
             counted_memory,
             since,
             command_since,
@@ -62,9 +62,6 @@
             granted,
             granted_at,
             waits_for_grant,
-            body_sent_at: _,
-            grant_deadline: _,
-            rejected_bytes: _,
             idle_state,
         } = self;
         ClientConnection {
@@ -77,7 +74,7 @@
             ready_bytes,
             out,
             written,
-            recent_output: usize::MAX,
+            unsaved: UnsavedState::after_handover(),
             counted_memory,
             since,
             command_since,
@@ -94,9 +91,6 @@
             granted,
             granted_at,
             waits_for_grant,
-            body_sent_at: None,
-            grant_deadline: Micros::MAX,
-            rejected_bytes: 0,
             idle_state,
         }
     }
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -101,8 +101,9 @@
         }
         if !std::mem::replace(&mut conn.waits_for_grant, true) {
             let wait = call::announced_wait(&conn.buf, &self.arguments).unwrap_or(UNKNOWN_WAIT);
-            conn.body_sent_at = Some(now);
-            conn.grant_deadline = now + wait.min(MAX_WAIT) / GRANT_WAIT_DIVISOR * GRANT_WAIT_SHARE;
+            conn.unsaved.body_sent_at = Some(now);
+            let longest_wait = wait.min(MAX_WAIT) / GRANT_WAIT_DIVISOR * GRANT_WAIT_SHARE;
+            conn.unsaved.grant_deadline = Some(now + longest_wait);
             let serial = conn.serial;
             self.grant_queue.push_back(ConnectionId { key, serial });
         }
@@ -123,11 +124,14 @@
             let Some(conn) = conn else {
                 continue;
             };
-            let deadline = conn.grant_deadline;
+            let is_late = conn
+                .unsaved
+                .grant_deadline
+                .is_some_and(|deadline| now >= deadline);
             let Some(length) = resp::long_command(&conn.buf, &mut self.arguments) else {
                 continue;
             };
-            if self.rejecting || now >= deadline {
+            if self.rejecting || is_late {
                 self.reject_body(key, length);
             } else if requests_memory + self.granted + length <= self.max_memory {
                 self.grant(key, length, now);
@@ -164,9 +168,9 @@
             self.events.push_back(end);
         }
         let conn = &mut self.connections[key];
-        conn.rejected_bytes = length.saturating_sub(conn.buf.len());
+        conn.unsaved.rejected_bytes = length.saturating_sub(conn.buf.len());
         conn.discard_input();
-        conn.body_sent_at = None;
+        conn.unsaved.body_sent_at = None;
         conn.stalled = false;
         conn.queue_answer(BUSY);
         conn.recount(&mut self.memory_used);
@@ -178,7 +182,7 @@
     /// not handed over to another process.
     pub fn close_after_rejected_bodies(&mut self) {
         for (_, conn) in &mut self.connections {
-            conn.closing |= std::mem::take(&mut conn.rejected_bytes) > 0;
+            conn.closing |= std::mem::take(&mut conn.unsaved.rejected_bytes) > 0;
         }
     }
 
@@ -186,7 +190,7 @@
     pub fn next_grant_deadline(&self) -> Micros {
         let waiting = self.grant_queue.iter();
         let connections = waiting.filter_map(|id| self.connections.get(id.key));
-        let deadlines = connections.map(|conn| conn.grant_deadline);
+        let deadlines = connections.filter_map(|conn| conn.unsaved.grant_deadline);
         deadlines.min().unwrap_or(Micros::MAX)
     }
 }
--- a/crates/ingress/src/client/reading.rs
+++ b/crates/ingress/src/client/reading.rs
@@ -84,7 +84,7 @@
                     self.connections[key].stalled = !self.parse_commands(key, now);
                     let conn = &mut self.connections[key];
                     if conn.granted > 0 {
-                        conn.body_sent_at = None; // the rest of the body has not arrived yet
+                        conn.unsaved.body_sent_at = None; // the rest of the body has not arrived yet
                     }
                     return;
                 }
@@ -129,11 +129,11 @@
         }
         // The timeout of a partial command starts at its first byte, not when the connection became idle. For a long body, each
         // read restarts the timeout.
-        if conn.buf.is_empty() || conn.granted > 0 || conn.rejected_bytes > 0 {
+        if conn.buf.is_empty() || conn.granted > 0 || conn.unsaved.rejected_bytes > 0 {
             conn.command_since = now.max(conn.command_since);
         }
-        let discarded = bytes.min(conn.rejected_bytes);
-        conn.rejected_bytes -= discarded;
+        let discarded = bytes.min(conn.unsaved.rejected_bytes);
+        conn.unsaved.rejected_bytes -= discarded;
         conn.buf
             .extend_from_slice(&self.read_buffer[discarded..bytes]);
         if drained {
--- a/crates/ingress/src/ingress/client_events.rs
+++ b/crates/ingress/src/ingress/client_events.rs
@@ -40,12 +40,7 @@
     pub(super) fn take_client_events(&mut self) {
         while let Some(event) = self.clients.events.pop_front() {
             match event {
-                ClientEvent::Request {
-                    id,
-                    origin,
-                    call,
-                    sent_at,
-                } => self.take_request(id, origin, call, sent_at),
+                ClientEvent::Request(id, origin, call) => self.take_request(id, origin, call),
                 ClientEvent::Disconnected(id) => self.client_disconnected(id),
                 ClientEvent::EndedEarly(class, end) => self.metrics.record(class, end),
             }
@@ -66,7 +61,7 @@
         self.forget_if_finished(id);
     }
 
-    fn take_request(&mut self, id: RequestId, origin: Origin, call: Call, sent_at: Micros) {
+    fn take_request(&mut self, id: RequestId, origin: Origin, call: Call) {
         let class = call.request.class;
         let id_hash = match self.requests.capacity_for(&call) {
             Capacity::Free(id_hash) => id_hash,
@@ -85,7 +80,7 @@
         let margin = (2 * self.limits.tick + ANSWER_TRANSIT).min(max_wait / 4);
         let mut request = call.request;
         request.id = id;
-        request.deadline = sent_at + max_wait - margin;
+        request.deadline = self.now + max_wait - margin;
         self.routing.route(&mut request);
         // Set a single timer per request: nearly every request is answered long before its deadline, and each timer occupies a
         // heap entry until it expires.
