--- a/crates/ingress/tests/memory_limit.rs
+++ b/crates/ingress/tests/memory_limit.rs
@@ -1,10 +1,11 @@
 //! The memory limit of the process, with hundreds of clients that each hold a little.
 
 use std::io::{Read, Write};
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenfork_testbed::service_fixture::{
     command, read_value, Act, Backend, Client, Ingress, Setup,
 };
@@ -216,3 +217,56 @@
     assert_eq!(answered, [REQUESTS; 8], "answers by client");
     watched.check(MEMORY_MB);
 }
+
+/// Guards against memory that grows with the number of requests that one client sends at full speed, under ever new ids and customers
+/// and with long waits, and against other clients that are not served meanwhile.
+#[test]
+fn a_flood_of_short_requests_keeps_the_memory_limit() {
+    const SECONDS: u64 = 4;
+    let backends = backends(|args| Act::Say(answer(args, 10)));
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let flood = watched.ingress.client();
+    let (mut writer, reader) = (flood.0.try_clone().unwrap(), flood.0.try_clone().unwrap());
+    let start = Instant::now();
+    let writing = thread::spawn(move || {
+        let mut sent = 0;
+        while start.elapsed() < Duration::from_secs(SECONDS) {
+            let requests = (sent..sent + 100).map(|n| {
+                let customer = format!("{:016x}", 100_000 + n);
+                let options = "c=refer,t=starter,d=60000,units=1,spread=1,first=0";
+                command(&["CALL.POST", &customer, &format!("f{n}"), options, "b"])
+            });
+            if writer
+                .write_all(&requests.collect::<Vec<_>>().concat())
+                .is_err()
+            {
+                break;
+            }
+            sent += 100;
+        }
+        let _ = writer.shutdown(Shutdown::Both);
+        sent
+    });
+    let reading = thread::spawn(move || std::io::copy(&mut &reader, &mut std::io::sink()));
+    let mut client = watched.ingress.client();
+    let (mut asked, mut slowest) = (0, Duration::ZERO);
+    while start.elapsed() < Duration::from_secs(SECONDS) {
+        let (id, begun) = (format!("q{asked}"), Instant::now());
+        let answer = client.ask(&request(asked, &id, 10, 0));
+        assert!(!answer.is_empty(), "no answer to {id}");
+        slowest = slowest.max(begun.elapsed());
+        asked += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    let sent = writing.join().unwrap();
+    let _ = reading.join();
+    println!(
+        "{sent} requests, {} KiB, slowest answer {slowest:?}",
+        watched.peak_kib.load(Ordering::SeqCst)
+    );
+    assert!(
+        slowest < Duration::from_secs(1),
+        "an answer after {slowest:?}"
+    );
+    watched.check(MEMORY_MB);
+}
