--- a/crates/ingress/src/ingress/builder.rs
+++ b/crates/ingress/src/ingress/builder.rs
@@ -254,14 +254,15 @@
         let now = opened.clock.now();
         let may_change_pools = !config.platform_only || config.has_control_port();
         let counter = config.counter.map(open_counter);
+        let active = config.active;
         let discovery = DiscoveryClient::new(
-            config.active.discovery,
+            active.discovery,
             config.location_names,
             endpoints_index,
             DISCOVERY,
             config.seed,
         );
-        let active = config.active;
+        let backends = open_backends(&active, config.memory);
         let memory = config.memory / MEMORY_DIVISOR;
         let max_open = active.settings.limits.max_pending as usize;
         let in_group = config.control.membership.is_some();
@@ -278,6 +279,7 @@
             gateway: Gateway::new(active.settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
+            backends,
             clients: open_clients(
                 self.bound.listener,
                 active.vocabulary,
@@ -285,12 +287,6 @@
                 memory,
                 control.admission,
             ),
-            backends: Backends::new(
-                active.connect_timeout,
-                active.keepalive,
-                config.memory / ANSWER_MEMORY_DIVISOR,
-                backend_token,
-            ),
             discovery,
             reloader,
             routing: Routing::new(active.routes, may_change_pools),
@@ -351,6 +347,15 @@
     clients
 }
 
+fn open_backends(active: &ActiveConfig, memory: usize) -> Backends {
+    Backends::new(
+        active.connect_timeout,
+        active.keepalive,
+        memory / ANSWER_MEMORY_DIVISOR,
+        backend_token,
+    )
+}
+
 fn open_counter(counter: CounterConfig) -> CounterClient {
     CounterClient::new(counter.address, counter.timeout, COUNTER)
 }
--- a/crates/testbed/src/scenario/file.rs
+++ b/crates/testbed/src/scenario/file.rs
@@ -1,6 +1,6 @@
 //! Format of scenario files, and the checks on their values.
 
-use super::timetable::{Fault, Row, Step};
+use super::timetable::{Fault, Row, Site, Step};
 use super::{Diagnostic, Micros, SECOND};
 use serde::de::{self, Deserializer, Visitor};
 use serde::Deserialize;
@@ -758,10 +758,15 @@
             .group
             .map(|t| check_group(t, &network, reports, &i, &clients, &plans, c));
         let lasts = self.lasts.get_ref().0;
+        let site = Site {
+            ingresses: i.count,
+            backends: count,
+            seed: self.seed,
+        };
         let mut steps: Vec<Step> = Vec::new();
         for row in self.at {
             let (span, row) = (row.span(), row.into_inner());
-            let step = row.check(i.count, count, self.seed, c);
+            let step = row.check(site, c);
             let is_counter_fault = step
                 .as_ref()
                 .is_some_and(|s| matches!(s.fault, Fault::Counter { .. }));
--- a/crates/testbed/src/service_fixture.rs
+++ b/crates/testbed/src/service_fixture.rs
@@ -4,7 +4,7 @@
 
 use crate::rig::address;
 use socket2::{Domain, Socket, Type};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -131,6 +131,8 @@
     Later(Duration, Vec<u8>),
     /// Sends this many bytes, pauses, then sends the rest.
     Parts(usize, Duration, Vec<u8>),
+    /// Sends the answer in pieces of this many bytes, with a pause after each.
+    Pieces(usize, Duration, Vec<u8>),
     /// Sends this many bytes, and the rest once the flag is set.
     Until(usize, Arc<AtomicBool>, Vec<u8>),
     /// Sends nothing and keeps the connection open.
@@ -201,21 +203,7 @@
     fn serve_connection(mut stream: TcpStream, seen: &Seen, act: &dyn Fn(&[String]) -> Act) {
         let _ = stream.set_nodelay(true);
         let mut answered: Option<Instant> = None;
-        loop {
-            stream
-                .set_read_timeout(Some(Duration::from_millis(10)))
-                .unwrap();
-            match stream.peek(&mut [0]) {
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    if seen.hang_up.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    continue;
-                }
-                Ok(n) if n > 0 => {}
-                _ => return,
-            }
-            stream.set_read_timeout(None).unwrap();
+        while Self::wait_for_request(&stream, seen) {
             let stale = Duration::from_millis(seen.stale_ms.load(Ordering::SeqCst));
             if !stale.is_zero() && answered.is_some_and(|at| at.elapsed() > stale) {
                 return;
@@ -224,32 +212,63 @@
                 return;
             };
             seen.commands.lock().unwrap().push(args.clone());
-            let written = match act(&args) {
-                Act::Say(bytes) => stream.write_all(&bytes),
-                Act::Later(pause, bytes) => {
-                    thread::sleep(pause);
-                    stream.write_all(&bytes)
-                }
-                Act::Parts(at, pause, bytes) => stream.write_all(&bytes[..at]).and_then(|()| {
-                    thread::sleep(pause);
-                    stream.write_all(&bytes[at..])
-                }),
-                Act::Until(at, release, bytes) => stream.write_all(&bytes[..at]).and_then(|()| {
-                    until("permission to send the rest of the answer", || {
-                        release.load(Ordering::SeqCst)
-                    });
-                    stream.write_all(&bytes[at..])
-                }),
-                Act::Silent => Ok(()),
-                Act::Close => return,
-            };
-            if written.is_err() {
+            if Self::perform(&mut stream, act(&args)).is_err() {
                 return;
             }
             answered = Some(Instant::now());
         }
     }
 
+    /// Waits until part of a request has arrived; returns false if the connection has ended or is to be closed.
+    fn wait_for_request(stream: &TcpStream, seen: &Seen) -> bool {
+        stream
+            .set_read_timeout(Some(Duration::from_millis(10)))
+            .unwrap();
+        loop {
+            match stream.peek(&mut [0]) {
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    if seen.hang_up.load(Ordering::SeqCst) {
+                        return false;
+                    }
+                }
+                Ok(n) if n > 0 => break,
+                _ => return false,
+            }
+        }
+        stream.set_read_timeout(None).unwrap();
+        true
+    }
+
+    /// Sends what a backend does with a request. The connection is to be closed after an error.
+    fn perform(stream: &mut TcpStream, act: Act) -> io::Result<()> {
+        match act {
+            Act::Say(bytes) => stream.write_all(&bytes),
+            Act::Later(pause, bytes) => {
+                thread::sleep(pause);
+                stream.write_all(&bytes)
+            }
+            Act::Parts(at, pause, bytes) => {
+                stream.write_all(&bytes[..at])?;
+                thread::sleep(pause);
+                stream.write_all(&bytes[at..])
+            }
+            Act::Pieces(length, pause, bytes) => bytes.chunks(length).try_for_each(|piece| {
+                stream.write_all(piece)?;
+                thread::sleep(pause);
+                Ok(())
+            }),
+            Act::Until(at, release, bytes) => {
+                stream.write_all(&bytes[..at])?;
+                until("permission to send the rest of the answer", || {
+                    release.load(Ordering::SeqCst)
+                });
+                stream.write_all(&bytes[at..])
+            }
+            Act::Silent => Ok(()),
+            Act::Close => Err(ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
     pub fn count(&self) -> usize {
         self.seen.commands.lock().unwrap().len()
     }
