Backends: an answer that is still being written is not cut off

The README says that an attempt fails when its answer stops arriving for half a second.

Change: the time counts from the last byte, as for streamed answers. The deadline of the request still bounds it.

--- a/crates/ingress/src/backend/connection.rs
+++ b/crates/ingress/src/backend/connection.rs
@@ -36,7 +36,7 @@
     /// Deadline of the attempt, which its command carries.
     #[serde(skip)]
     pub(super) deadline: Micros,
-    /// When the answer began to arrive; for a streamed answer, when it last made progress.
+    /// When the answer last made progress.
     pub(super) answer_since: Micros,
     /// The command of the current activity; empty while the connection is idle.
     pub(super) command: OutgoingCommand,
--- a/crates/ingress/src/backend/ending.rs
+++ b/crates/ingress/src/backend/ending.rs
@@ -7,7 +7,7 @@
 use wrenfork_decision::{BackendId, Micros, Outcome};
 use wrenfork_happy_eyeballs::AddressOutcome;
 
-/// How long an answer may take to complete after its first byte.
+/// How long an answer that has begun may make no progress.
 const ANSWER_TIMEOUT: Micros = 500_000;
 /// How long a streamed answer may make no progress while the client has room for more. Equals the time that a client waits for
 /// the complete answer to a request with the longest deadline that the platform expects.
@@ -138,7 +138,7 @@
     }
 }
 
-/// Whether an answer has begun and was not completed, or made no progress, within its timeout.
+/// Whether an answer has begun and made no progress within its timeout.
 fn has_timed_out(conn: &Connection, now: Micros) -> bool {
     if conn.long_answer.is_some() {
         !conn.paused && now > conn.answer_since + STREAM_TIMEOUT
--- a/crates/ingress/src/backend/reading.rs
+++ b/crates/ingress/src/backend/reading.rs
@@ -113,13 +113,10 @@
                 Err(error) if is_not_ready(&error) => return,
                 Ok(_) | Err(_) => return self.read_ended(key, now),
             };
-            if conn.buf.is_empty() {
-                conn.answer_since = now;
-            }
+            conn.answer_since = now;
             conn.buf.extend_from_slice(&self.read_buffer[..bytes]);
             if conn.long_answer.is_some() {
                 conn.paused = true;
-                conn.answer_since = now;
                 return self.streams.push(self.handle(key));
             }
             if self.take_answer(key, now) == Reuse::Close {
