Backends: an answer that arrived while the process was held up is not timed out

Callers saw "-ERR failed" for an answer that was complete in the kernel: the process had been stopped for 1.5 s after half of it, and its periodic check judged the pause before the rest was read.

Change: what has arrived is read before an answer counts as stalled.

Measured: an_answer_that_arrives_while_the_ingress_is_stopped_is_served fails on ("-ERR failed") and passes now.

--- a/crates/ingress/src/backend/ending.rs
+++ b/crates/ingress/src/backend/ending.rs
@@ -117,6 +117,16 @@
             self.remove(key);
         }
         for key in self.keys_where(|conn| has_timed_out(conn, now)) {
+            self.break_unless_arrived(key, now);
+        }
+    }
+
+    /// Breaks a connection whose answer has timed out, unless more of it has arrived while this process was held up.
+    fn break_unless_arrived(&mut self, key: usize, now: Micros) {
+        let serial = self.connections[key].serial;
+        self.read(key, now, true);
+        let is_same = |conn: &Connection| conn.serial == serial && has_timed_out(conn, now);
+        if self.connections.get(key).is_some_and(is_same) {
             self.break_connection(key, now);
         }
     }
--- a/crates/ingress/tests/slow_backends.rs
+++ b/crates/ingress/tests/slow_backends.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use wrenfork_testbed::service_fixture::{call, command, entry, Act, Backend, Ingress, Setup};
+use wrenfork_testbed::service_fixture::{
+    call, command, entry, until, Act, Backend, Ingress, Setup,
+};
 
 /// Length of a value that is not streamed, near the longest.
 const SHORT_VALUE_BYTES: usize = 60_000;
@@ -45,6 +47,29 @@
     }
 }
 
+/// Guards against an answer that is cut off for a pause of the ingress itself: half of it had arrived before.
+#[test]
+fn an_answer_that_arrives_while_the_ingress_is_stopped_is_served() {
+    let backend = Backend::start(|args| {
+        let bytes = answer(args, SHORT_VALUE_BYTES);
+        Act::Parts(bytes.len() / 2, Duration::from_millis(400), bytes)
+    });
+    let ingress = setup(&[&backend]).start();
+    let mut client = ingress.client();
+    client.send(&call("refer", "r1", 5000));
+    until("the request reaches the backend", || backend.count() == 1);
+    thread::sleep(Duration::from_millis(200));
+    ingress.signal("STOP");
+    thread::sleep(Duration::from_millis(1500));
+    ingress.signal("CONT");
+    let served = client.answer();
+    assert!(
+        served == value("r1", SHORT_VALUE_BYTES),
+        "{}",
+        &served[..served.len().min(50)]
+    );
+}
+
 /// A backend that reads `bytes_per_second` of what it is sent, and answers once it has read a command of a given length. Returns its
 /// address and the number of bytes that it has read.
 fn start_slow_reader(
