Backends: nothing is written to a process that took the place of another

Three ways in which a new process was taken for the one before it, each shown on: - a backend moves to another address while an attempt connects to the old one: the request went to whatever process came up there; - name and address are taken by a process of another cell while a keyed repeat connects: the request ran twice; - a backend is replaced and its old process has vanished without closing: its idle connections were kept for 12 s, and a request on one can only fail.

Cause: a lost address closed idle connections but left attempts that were not written yet; a later start or another cell of the same name changed nothing.

Change: an address that is lost, a later start, another zone or another cell closes the idle connections and ends the attempts that are not completely written, which the decision module sends elsewhere. A start that becomes 'long ago' is no change. A successor knows the process from the next report on; the handover form is unchanged.

--- a/crates/ingress/src/backend/endpoints.rs
+++ b/crates/ingress/src/backend/endpoints.rs
@@ -3,11 +3,35 @@
 use super::pool::Pool;
 use super::Backends;
 use crate::discovery::{DiscoveredEndpoint, EndpointList};
-use wrenfork_decision::{BackendId, EndpointState};
+use wrenfork_decision::{BackendId, Endpoint, EndpointState, Micros};
+
+/// The process behind an endpoint, as far as discovery tells one from another.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BackendProcess {
+    zone: u8,
+    cell: u16,
+    started_at: Micros,
+}
+
+impl BackendProcess {
+    fn of(endpoint: &Endpoint) -> BackendProcess {
+        BackendProcess {
+            zone: endpoint.zone,
+            cell: endpoint.cell,
+            started_at: endpoint.started_at,
+        }
+    }
+
+    /// Whether `self` is a later process than `earlier`. A start that becomes "long ago" is none.
+    fn replaces(&self, earlier: &BackendProcess) -> bool {
+        let moved = (self.zone, self.cell) != (earlier.zone, earlier.cell);
+        moved || self.started_at > earlier.started_at
+    }
+}
 
 impl Backends {
-    /// Applies an endpoint list: updates addresses, and closes idle connections to backends that were removed, drain, or lost an
-    /// address.
+    /// Applies an endpoint list: updates addresses, and closes idle connections to backends that were removed, were restarted,
+    /// drain, or lost an address.
     pub fn update(&mut self, list: &EndpointList) {
         let mut removed: Vec<BackendId> = Vec::new();
         if list.is_full {
@@ -36,11 +60,13 @@
         let draining = endpoint.listed.state == EndpointState::Draining;
         let pool: &mut Pool = self.pools.entry(id).or_default();
         let address_removed = pool.addresses.update(endpoint.addresses.clone());
-        // Idle connections to a removed address or to a draining backend will not be used again.
-        if address_removed || draining {
+        let process = BackendProcess::of(&endpoint.listed);
+        let earlier = pool.process.replace(process);
+        let was_replaced = earlier.is_some_and(|earlier| process.replaces(&earlier));
+        // What is idle or not connected yet must not be used for a process that discovery no longer means: another one may have
+        // come up at the address.
+        if address_removed || was_replaced || draining {
             self.close_idle(id);
-        }
-        if draining {
             self.cancel_unsent(id);
         }
     }
--- a/crates/ingress/src/backend/pool.rs
+++ b/crates/ingress/src/backend/pool.rs
@@ -1,5 +1,6 @@
 //! The connection pool of a backend.
 
+use super::endpoints::BackendProcess;
 use super::unsolicited::UnsolicitedBytes;
 use super::Backends;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,9 @@
     /// Slab keys of the idle connections; the one that became idle last is at the end.
     pub(super) idle: Vec<usize>,
     pub(super) unsolicited: UnsolicitedBytes,
+    /// The process that discovery reported last. Not serialized: a successor knows it from the next report on.
+    #[serde(skip)]
+    pub(super) process: Option<BackendProcess>,
 }
 
 impl Backends {
--- a/crates/ingress/src/backend/tests.rs
+++ b/crates/ingress/src/backend/tests.rs
@@ -63,6 +63,7 @@
             answers: 8.5,
             arrivals: 1.25,
         },
+        process: None,
     };
     let mut staleness = Staleness::default();
     staleness.record(3_000, false);
