Customers: their number is bounded, further ones are rejected

Change: Gateway::set_max_customers. Beyond it a request of an unknown customer is rejected and a usage report of one is ignored; known customers are served. Forgetting one that is in use would break its quota. The stored form is unchanged.

Measured: customers_beyond_the_limit_are_rejected_until_others_are_forgotten (new); the decision module's tests pass, digests and golden files unchanged.

--- a/crates/decision/src/customers/mod.rs
+++ b/crates/decision/src/customers/mod.rs
@@ -132,9 +132,23 @@
 #[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Customers {
     by_id: BTreeMap<CustomerId, Customer>,
+    /// Number of customers above which no further one is remembered; none without a limit. Not
+    /// handed over: the host sets it again.
+    #[serde(skip)]
+    max_count: Option<usize>,
 }
 
 impl Customers {
+    pub(crate) fn set_max_count(&mut self, max_count: usize) {
+        self.max_count = Some(max_count);
+    }
+
+    /// Whether a customer is known or may be added.
+    pub(crate) fn has_room_for(&self, id: CustomerId) -> bool {
+        let is_full = self.max_count.is_some_and(|max| self.by_id.len() >= max);
+        !is_full || self.by_id.contains_key(&id)
+    }
+
     pub(crate) fn get(&self, id: CustomerId) -> Option<&Customer> {
         self.by_id.get(&id)
     }
--- a/crates/decision/src/gateway/admission.rs
+++ b/crates/decision/src/gateway/admission.rs
@@ -55,6 +55,9 @@
         if !self.is_servable(&request) {
             return self.reject(request.id, 0, actions);
         }
+        if !self.customers.has_room_for(request.customer) {
+            return self.reject(request.id, MAX_RETRY_ADVICE, actions);
+        }
         let new_customer = self.register_customer(&request);
         let class = self.settings.classes[usize::from(request.class)];
         let now = self.now();
--- a/crates/decision/src/gateway/gossip_in.rs
+++ b/crates/decision/src/gateway/gossip_in.rs
@@ -173,10 +173,13 @@
         })
     }
 
-    /// Registers a reported customer that is unknown here. If the settings changed since the
+    /// Registers a reported customer that is unknown here, unless too many are known. If the settings changed since the
     /// customer was last seen here, takes its plan from the report, since the peer knows the
     /// current one.
     fn register_reported_customer(&mut self, report: &UsageReport, plan_index: usize) {
+        if !self.customers.has_room_for(report.customer) {
+            return;
+        }
         let now = self.now();
         let burst = self.settings.plans[plan_index].burst;
         // For a customer that is unknown here, the sender's view of the bucket is used if it has
--- a/crates/decision/src/gateway/mod.rs
+++ b/crates/decision/src/gateway/mod.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Sets how many customers the gateway remembers at most. Requests of further ones are rejected
+    /// until others can be forgotten, since without a record their quotas would not hold.
+    pub fn set_max_customers(&mut self, max_customers: usize) {
+        self.customers.set_max_count(max_customers);
+    }
+
     /// Handles one event at time `now` and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         // After a stall of several wake-ups, checks are postponed to the next wake-up, so that all
--- a/crates/decision/tests/quotas.rs
+++ b/crates/decision/tests/quotas.rs
@@ -454,3 +454,27 @@
         "requests within the limit on attempts in flight were rejected"
     );
 }
+
+/// Guards against memory that grows without end under ever new customers: beyond the limit, further ones are rejected, and known
+/// ones are served. There is room again once others can be forgotten.
+#[test]
+fn customers_beyond_the_limit_are_rejected_until_others_are_forgotten() {
+    const MAX_CUSTOMERS: u64 = 20;
+    let mut harness = Harness::new(settings(), 4);
+    harness.gateway.set_max_customers(MAX_CUSTOMERS as usize);
+    let is_served = |harness: &mut Harness, customer: u64| {
+        let (id, actions) = harness.request(0, 1, customer, 1.0);
+        for backend in sent_to(&actions) {
+            harness.end_attempt(id, 0, backend, Outcome::Ok);
+        }
+        assert_eq!(sent_to(&actions).is_empty(), is_rejected(&actions));
+        !sent_to(&actions).is_empty()
+    };
+    let served = (1..=3 * MAX_CUSTOMERS).filter(|customer| is_served(&mut harness, *customer));
+    let served: Vec<u64> = served.collect::<Vec<_>>();
+    assert_eq!(served, (1..=MAX_CUSTOMERS).collect::<Vec<_>>());
+    harness.advance(2 * SECOND);
+    assert!(is_served(&mut harness, 1), "a known customer is served");
+    harness.advance(60 * SECOND);
+    assert!(is_served(&mut harness, 2 * MAX_CUSTOMERS));
+}
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -60,6 +60,10 @@
 const MEMORY_DIVISOR: usize = 4;
 /// Divisor of the memory limit: a share of this size is for answers that are being received from backends.
 const ANSWER_MEMORY_DIVISOR: usize = 8;
+/// Fraction of the memory limit for what the decision module knows of customers: one part in this many.
+const CUSTOMER_MEMORY_DIVISOR: usize = 8;
+/// Approximate memory in bytes that the decision module takes for a customer.
+const CUSTOMER_BYTES: usize = 1024;
 /// Interval between sweeps for idle connections and old requests.
 const SWEEP_INTERVAL: Micros = 500_000;
 
@@ -116,6 +120,13 @@
     memory: usize,
 }
 
+impl Limits {
+    /// Maximum number of customers that the decision module remembers.
+    fn max_customers(&self) -> usize {
+        self.memory / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_BYTES
+    }
+}
+
 /// Work left for the next turn because this turn reached a limit.
 #[derive(Default)]
 struct UnfinishedWork {
--- a/crates/ingress/src/ingress/builder.rs
+++ b/crates/ingress/src/ingress/builder.rs
@@ -41,7 +41,7 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use wrenfork_control_plane::group::InheritedLease;
-use wrenfork_decision::{DiscoveryMode, EndpointListKind, Gateway, Micros};
+use wrenfork_decision::{DiscoveryMode, EndpointListKind, Gateway, Micros, Settings};
 use wrenfork_handover::socket_path;
 use wrenfork_wire::call::Vocabulary;
 
@@ -266,17 +266,19 @@
         let memory = config.memory / MEMORY_DIVISOR;
         let max_open = active.settings.limits.max_pending as usize;
         let in_group = config.control.membership.is_some();
+        let limits = Limits::new(&active, config.memory);
+        let max_customers = limits.max_customers();
         Ingress {
             variant: self.variant,
             poll: self.poll,
             clock: opened.clock,
             now,
-            limits: Limits::new(&active, config.memory),
+            limits,
             budget: opened.budget,
             metrics: RequestMetrics::new(active.vocabulary.class_names()),
             cohort_metrics: cohort_metrics(&active, in_group),
             shutdown: Shutdown::new(active.longest_deadline()),
-            gateway: Gateway::new(active.settings, config.seed, now),
+            gateway: open_gateway(active.settings, config.seed, now, max_customers),
             events: VecDeque::new(),
             actions: Vec::new(),
             backends,
@@ -347,6 +349,12 @@
     clients
 }
 
+fn open_gateway(settings: Settings, seed: u64, now: Micros, max_customers: usize) -> Gateway {
+    let mut gateway = Gateway::new(settings, seed, now);
+    gateway.set_max_customers(max_customers);
+    gateway
+}
+
 fn open_backends(active: &ActiveConfig, memory: usize) -> Backends {
     Backends::new(
         active.connect_timeout,
--- a/crates/ingress/src/ingress/handover.rs
+++ b/crates/ingress/src/ingress/handover.rs
@@ -200,6 +200,7 @@
         let connections = state.clients.len() + state.backends.len();
         self.now = state.now;
         self.gateway = state.gateway;
+        self.gateway.set_max_customers(self.limits.max_customers());
         self.requests = state.requests;
         self.timers = state.timers;
         self.requests
