Requests: one that is rejected leaves no timer and no id behind

Seen: with 600 clients that write 500 requests each, 35% of the page faults were timers of requests answered long ago, up to 60 s of them, and 33% ids, which are kept for 1 s, also those of requests that were rejected before any attempt.

Change: once there are more than 4,096 timers and more than eight for each open request, those of ended requests are removed. The id of a request without any attempt may come again at once: it never ran. An open request counts with 1 KiB for its tables.

--- a/crates/ingress/src/ingress/client_events.rs
+++ b/crates/ingress/src/ingress/client_events.rs
@@ -82,6 +82,9 @@
         request.id = id;
         request.deadline = self.now + max_wait - margin;
         self.routing.route(&mut request);
+        let requests = &self.requests;
+        self.timers
+            .remove_stale(requests.count(), |id| requests.get(id).is_some());
         // Set a single timer per request: nearly every request is answered long before its deadline, and each timer occupies a
         // heap entry until it expires.
         self.timers.set(request.deadline, Due::RequestDeadline(id));
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -16,6 +16,10 @@
 /// a new id for each request, so ids need not be remembered longer.
 const ID_RETENTION: Micros = 1_000_000;
 
+/// Approximate memory in bytes that an open request takes in the tables, timers and queues of the ingress and of the decision module,
+/// in addition to its command.
+const TABLES_BYTES: usize = 1024;
+
 /// Longest client wait that is honoured, in microseconds: without a bound, timers of requests answered long ago could
 /// accumulate for hours.
 pub const MAX_WAIT: Micros = 60_000_000;
@@ -93,7 +97,7 @@
 pub enum Capacity {
     /// There is room; the value is the hash of the request id.
     Free(u64),
-    /// A request with the same id is open, or was completed within [`ID_RETENTION`].
+    /// A request with the same id is open, or was attempted and ended within [`ID_RETENTION`].
     DuplicateId,
     /// The limit on requests or on memory is reached.
     Full,
@@ -103,7 +107,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct OpenRequests {
     open: HashMap<RequestId, OpenRequest>,
-    /// Hashes of the ids of open requests and of those that ended within [`ID_RETENTION`].
+    /// Hashes of the ids of open requests, and of those that were attempted and ended within [`ID_RETENTION`].
     id_hashes: HashSet<u64>,
     /// Id hashes of ended requests, with the time at which each is removed.
     ended: VecDeque<(Micros, u64)>,
@@ -117,6 +121,11 @@
     max_open: usize,
 }
 
+/// Approximate memory in bytes that a call takes while it is open.
+fn memory_of(call: &Call) -> usize {
+    call.size() + TABLES_BYTES
+}
+
 /// Draws a hash key that clients cannot guess. The key is handed over to the successor with the open requests.
 fn random_key() -> u64 {
     RandomState::new().hash_one(0)
@@ -160,7 +169,7 @@
         if self.id_hashes.contains(&id_hash) {
             return Capacity::DuplicateId;
         }
-        let memory = self.memory_used + call.size();
+        let memory = self.memory_used + memory_of(call);
         if self.open.len() >= self.max_open || memory > self.max_memory {
             return Capacity::Full;
         }
@@ -177,7 +186,7 @@
         deadlines: Deadlines,
         max_attempts: usize,
     ) {
-        self.memory_used += call.size();
+        self.memory_used += memory_of(&call);
         self.id_hashes.insert(id_hash);
         let request = OpenRequest {
             call,
@@ -193,6 +202,11 @@
         self.open.insert(id, request);
     }
 
+    /// Number of requests in the table.
+    pub fn count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Returns a request that has not been removed yet.
     pub fn get(&self, id: RequestId) -> Option<&OpenRequest> {
         self.open.get(&id)
@@ -237,8 +251,13 @@
             return;
         }
         if let Some(request) = self.open.remove(&id) {
-            self.memory_used -= request.call.size();
-            self.ended.push_back((now + ID_RETENTION, request.id_hash));
+            self.memory_used -= memory_of(&request.call);
+            if request.attempts.is_empty() {
+                // It never ran, so its id may come again.
+                self.id_hashes.remove(&request.id_hash);
+            } else {
+                self.ended.push_back((now + ID_RETENTION, request.id_hash));
+            }
         }
     }
 
--- a/crates/ingress/src/timers.rs
+++ b/crates/ingress/src/timers.rs
@@ -41,6 +41,23 @@
     FailOpenRequests,
 }
 
+impl Due {
+    /// The request that the timer is for, if any.
+    fn request(&self) -> Option<RequestId> {
+        match self {
+            Due::AttemptTimeout(id, _) | Due::RequestDeadline(id) | Due::ClientDeadline(id) => {
+                Some(*id)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Number of timers up to which those of requests that have ended are left to expire.
+const MAX_STALE_TIMERS: usize = 4096;
+/// Number of timers for each open request above which others are taken to be stale. More than a request sets.
+const TIMERS_PER_REQUEST: usize = 8;
+
 /// The pending timers, earliest first.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Timers(BinaryHeap<Reverse<(Micros, Due)>>);
@@ -51,6 +68,15 @@
         self.0.push(Reverse((at, due)));
     }
 
+    /// Removes the timers of requests that have ended, if these are most of all. A client that waits long and is answered at once would
+    /// otherwise leave a timer for each request. The cost is constant for each timer set.
+    pub fn remove_stale(&mut self, open_requests: usize, is_open: impl Fn(RequestId) -> bool) {
+        if self.0.len() > MAX_STALE_TIMERS.max(TIMERS_PER_REQUEST * open_requests) {
+            self.0
+                .retain(|timer| timer.0 .1.request().is_none_or(&is_open));
+        }
+    }
+
     /// Time of the earliest timer; [`Micros::MAX`] if none is set.
     pub fn next(&self) -> Micros {
         self.0.peek().map_or(Micros::MAX, |timer| timer.0 .0)
