Clients: a long pipeline doesn't grow its input buffer until it is cut off

Callers saw their connection end with '-ERR no memory for the rest of a command' after some 8,000 requests, the rest unanswered, when they wrote at full speed on one connection. The test of such a flood held all the same: it didn't look at the answers, and most of its 2,000,000 requests were read and dropped.

Cause: a connection that resumes reading had 64 KiB read before what earlier turns had left was parsed, so that its buffer grew by some 40 KiB each turn, up to the memory of all clients. The requests that all such connections parse in a turn were also queued together, uncounted, before the first of them was handled (53 MiB for 600 clients).

Change: what is in the buffer is parsed before more is read, and the requests of a connection are handled before the next one is read. The test waits for an answer to each request.

--- a/crates/ingress/src/client/reading.rs
+++ b/crates/ingress/src/client/reading.rs
@@ -43,13 +43,17 @@
         self.read(key, now, false);
     }
 
-    /// Continues reading from connections whose reading was cut short by the limit per turn.
-    pub fn continue_reading(&mut self, now: Micros) {
-        for key in std::mem::take(&mut self.read_queue) {
-            if let Some(conn) = self.connections.get_mut(key) {
-                conn.in_read_queue = false;
-                self.read(key, now, true);
-            }
+    /// Takes the connections whose reading was cut short by the limit per turn, for
+    /// [`continue_reading`](Self::continue_reading).
+    pub fn take_read_queue(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.read_queue)
+    }
+
+    /// Continues reading from a connection of [`take_read_queue`](Self::take_read_queue).
+    pub fn continue_reading(&mut self, key: usize, now: Micros) {
+        if let Some(conn) = self.connections.get_mut(key) {
+            conn.in_read_queue = false;
+            self.read(key, now, true);
         }
     }
 
@@ -71,8 +75,10 @@
         for step in 0..READS_PER_TURN {
             // With `until_would_block` the client may have disconnected already, which a read reveals. Requests are parsed only
             // after that, so that none is started for a client that is gone. An ingress that was stopped for a while finds many
-            // such connections.
-            let parse_first = !until_would_block || (step == 0 && self.connections[key].stalled);
+            // such connections. What an earlier turn has left in the buffer is parsed first, so that the buffer doesn't grow.
+            let conn = &self.connections[key];
+            let has_more = conn.stalled || !conn.buf.is_empty();
+            let parse_first = !until_would_block || (step == 0 && has_more);
             if parse_first && !self.parse_commands(key, now) {
                 self.connections[key].stalled = true;
                 return;
--- a/crates/ingress/src/ingress/turn.rs
+++ b/crates/ingress/src/ingress/turn.rs
@@ -56,8 +56,11 @@
         }
         self.backends.continue_reading(self.clock.now());
         self.process_events();
-        self.clients.continue_reading(self.now);
-        self.take_client_events();
+        for key in self.clients.take_read_queue() {
+            self.clients.continue_reading(key, self.now);
+            // The requests of a connection must not add up with those of all others.
+            self.take_client_events();
+        }
         for readiness in ready.iter() {
             self.handle_readiness(*readiness);
         }
--- a/crates/ingress/tests/memory_limit.rs
+++ b/crates/ingress/tests/memory_limit.rs
@@ -1,13 +1,13 @@
 //! The memory limit of the process, with hundreds of clients that each hold a little.
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use wrenfork_testbed::service_fixture::{
-    command, read_value, Act, Backend, Client, Ingress, Setup,
+    command, read_value, until, Act, Backend, Client, Ingress, Setup,
 };
 
 /// Memory limit of the ingress in MB.
@@ -60,12 +60,12 @@
     fn check(mut self, memory_mb: usize) {
         self.stop.store(true, Ordering::SeqCst);
         let peak_kib = self.peak_kib.load(Ordering::SeqCst);
-        assert!(
-            peak_kib < memory_mb * 1024,
-            "a peak of {peak_kib} KiB of private memory:\n{}",
-            self.ingress.log()
-        );
         assert!(self.ingress.child.try_wait().unwrap().is_none());
+        if peak_kib >= memory_mb * 1024 {
+            let _ = self.ingress.child.kill(); // the log ends with the process
+            let log = self.ingress.log();
+            panic!("a peak of {peak_kib} KiB of private memory:\n{log}");
+        }
     }
 }
 
@@ -244,10 +244,16 @@
             }
             sent += 100;
         }
-        let _ = writer.shutdown(Shutdown::Both);
         sent
     });
-    let reading = thread::spawn(move || std::io::copy(&mut &reader, &mut std::io::sink()));
+    let answered = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&answered);
+    thread::spawn(move || {
+        let mut reader = BufReader::new(reader);
+        while read_value(&mut reader).is_some() {
+            count.fetch_add(1, Ordering::SeqCst);
+        }
+    });
     let mut client = watched.ingress.client();
     let (mut asked, mut slowest) = (0, Duration::ZERO);
     while start.elapsed() < Duration::from_secs(SECONDS) {
@@ -259,7 +265,10 @@
         thread::sleep(Duration::from_millis(20));
     }
     let sent = writing.join().unwrap();
-    let _ = reading.join();
+    until("each request of the flood is answered", || {
+        answered.load(Ordering::SeqCst) >= sent
+    });
+    let _ = flood.0.shutdown(Shutdown::Both);
     println!(
         "{sent} requests, {} KiB, slowest answer {slowest:?}",
         watched.peak_kib.load(Ordering::SeqCst)
