Shutdown: the process waits for a body that waits for memory

Cause: only open requests and unread answers keep the process, and such a body is neither. Change: it counts as making progress, as it is served or answered -BUSY at its deadline, or when the shutdown fails its open requests.

--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -162,13 +162,14 @@
 
     /// When a connection that has a request without an answer, or an answer that its client has not received, last made progress
     /// (a command was read or part of an answer written); none if there is no such connection. Progress of what the kernel holds
-    /// for a client can't be seen, so it is taken to be `now`.
+    /// for a client, or of a body that waits for memory, can't be seen, so it is taken to be `now`.
     pub fn last_progress(&self, now: Micros) -> Option<Micros> {
         let progress = |conn: &ClientConnection| {
             if !conn.answers.is_empty() || !conn.out.is_empty() {
                 Some(conn.since)
             } else {
-                conn.may_be_receiving(now).then_some(now)
+                let progresses_unseen = conn.waits_for_grant || conn.may_be_receiving(now);
+                progresses_unseen.then_some(now)
             }
         };
         let connections = self.connections.iter();
--- a/crates/ingress/tests/long/bodies.rs
+++ b/crates/ingress/tests/long/bodies.rs
@@ -286,3 +286,22 @@
     assert_eq!(client.answer(), "value of next");
     stop.store(true, Ordering::SeqCst);
 }
+
+/// Guards against a request without any answer, because the process exits while its body waits for memory.
+#[test]
+fn a_body_that_waits_for_memory_is_answered_before_the_exit() {
+    let backend = Backend::start(serve);
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 17; // a quarter of it is for one body of maximum length and a little more
+    let mut ingress = setup.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    start_slow_writers(&ingress, 1, &stop);
+    thread::sleep(Duration::from_millis(300));
+    let mut client = ingress.client();
+    client.send(&post_with_wait("b0", 300_000, 7000));
+    thread::sleep(Duration::from_millis(100));
+    ingress.signal("TERM");
+    assert_eq!(client.answer(), "-BUSY");
+    assert_eq!(ingress.exit().code(), Some(0));
+    stop.store(true, Ordering::SeqCst);
+}
