Clients: a connection ends only behind the requests that were written to it

Cause: each path that ends a connection set one flag, with which all further input was read and dropped.

One rule now: a connection ends once it is idle, and a last read has shown that nothing more has come; what is read is answered, what is not read stays unread, so that its client sends it again. Only a protocol error or half a command ends it with input left; that is read and dropped after the half-close, for clients that still write. Invalid commands stay cheap: from the ninth in a row on, their errors are withheld until a valid command follows, which needs them in their places; after 1,024 errors nothing more is read. Answers of the parser share a slot, and slots are counted. Input buffers are freed by rejecting the requests in them.

--- a/crates/ingress/src/client/answers.rs
+++ b/crates/ingress/src/client/answers.rs
@@ -14,12 +14,15 @@
 const MAX_IDLE_BUFFER: usize = 2 * 1024;
 
 impl Clients {
-    /// Answers an invalid request with an error. Too many errors in a row close the connection.
+    /// Answers an invalid request with an error, which counts towards the end of its connection.
     pub fn answer_error(&mut self, origin: Origin, reason: &str) {
         let mut text = Vec::new();
         resp::put_error(&mut text, reason);
         if let Some(conn) = self.connection_of(origin) {
             conn.count_error();
+            if conn.closing {
+                self.read_later(origin.key); // parses what was read before
+            }
         }
         self.answer(origin, &text);
     }
@@ -60,7 +63,8 @@
     /// Whether the connection that this request came on has other requests whose answers are not written yet.
     pub fn has_other_answers(&self, origin: Origin) -> bool {
         let connection = self.connections.get(origin.key);
-        connection.is_some_and(|conn| conn.serial == origin.serial && conn.answers.len() > 1)
+        let connection = connection.filter(|conn| conn.serial == origin.serial);
+        connection.is_some_and(|conn| conn.answers.len() > 1 || conn.has_unparsed_commands())
     }
 
     /// Whether requests that came after this one on its connection have answers that are not written yet. They would be lost if
@@ -69,7 +73,7 @@
         let Some((conn, position)) = self.position_of(origin) else {
             return false;
         };
-        position + 1 < conn.answers.len()
+        position + 1 < conn.answers.len() || conn.has_unparsed_commands()
     }
 
     /// Whether the answer to this request is the next one that its client receives.
--- a/crates/ingress/src/client/closing.rs
+++ b/crates/ingress/src/client/closing.rs
@@ -47,12 +47,13 @@
         }
     }
 
-    /// Half-closes a connection if it is closing and all its answers are written, or if it is idle during graceful shutdown.
+    /// Half-closes a connection if it is closing and all its answers are written, or if it is idle and is to be closed then: during
+    /// graceful shutdown, or for what its client has sent.
     pub(super) fn close_if_done(&mut self, key: usize, now: Micros) {
         let conn = &self.connections[key];
         if conn.is_done() {
             self.half_close(key, now);
-        } else if self.draining && conn.is_idle() {
+        } else if (self.draining || conn.ends_when_idle()) && conn.is_idle() {
             self.half_close_if_idle(key, now);
         }
     }
@@ -64,7 +65,6 @@
         let conn = &mut self.connections[key];
         self.lost_answers.record(reason, conn);
         conn.closing = true;
-        conn.input_ignored = true;
         conn.discard_input();
         self.granted -= std::mem::take(&mut conn.granted);
         let answers = conn.take_answers();
@@ -94,6 +94,9 @@
         conn.half_closed = true;
         self.lingering += usize::from(conn.linger_until.is_none());
         conn.linger_until = Some(conn.delivery_deadline().max(now + LINGER_TIMEOUT));
+        if conn.unsaved.framing_lost {
+            self.read_later(key);
+        }
     }
 
     /// Reads from an idle connection, and closes it if nothing has arrived.
@@ -119,7 +122,6 @@
             return self.remove(key);
         }
         conn.closing = true;
-        conn.input_ignored = true;
         conn.since = now.max(conn.since);
         self.half_close(key, now);
         self.update_idle_state(key);
@@ -252,14 +254,25 @@
             let is_expired =
                 |conn: &ClientConnection| conn.linger_until.is_some_and(|until| until <= now);
             for key in self.keys_where(is_expired) {
-                self.discard_unread_input(key);
-                self.remove(key);
+                self.close_expired(key);
             }
         }
     }
 
+    /// Closes a half-closed or surplus connection whose time is over. A surplus connection that its client still uses is
+    /// half-closed first, once what was read from it is answered.
+    fn close_expired(&mut self, key: usize) {
+        let conn = &mut self.connections[key];
+        if !conn.closing && conn.has_sent_command() {
+            conn.closing = true;
+            return self.read_later(key);
+        }
+        self.discard_unread_input(key);
+        self.remove(key);
+    }
+
     /// Keys of the connections that match a predicate.
-    fn keys_where(&self, predicate: impl Fn(&ClientConnection) -> bool) -> Vec<usize> {
+    pub(super) fn keys_where(&self, predicate: impl Fn(&ClientConnection) -> bool) -> Vec<usize> {
         let connections = self.connections.iter();
         let matching = connections.filter(|(_, conn)| predicate(conn));
         matching.map(|(key, _)| key).collect()
@@ -268,16 +281,18 @@
     /// Closes a connection whose command has timed out, since it holds a file descriptor and memory. A partial command is
     /// answered with an error first.
     fn close_late_connection(&mut self, key: usize, now: Micros) {
-        let Some(conn) = self.connections.get_mut(key) else {
+        self.read(key, now, true); // the rest of the command may have arrived in the meantime
+        let conn = self.connections.get_mut(key);
+        let Some(conn) = conn.filter(|conn| is_command_late(conn, now)) else {
             return;
         };
         if conn.unsaved.rejected_bytes > 0 {
-            return self.remove(key); // the request is answered
-        }
-        if conn.buf.is_empty() {
-            return self.close_if_idle(key, now);
+            conn.closing = true; // the request with this body is answered
+        } else if conn.buf.is_empty() {
+            return self.remove(key);
+        } else {
+            conn.abort_command("the rest of a command did not come in time");
         }
-        conn.abort_command("the rest of a command did not come in time");
         self.write_later(key);
     }
 
--- a/crates/ingress/src/client/commands.rs
+++ b/crates/ingress/src/client/commands.rs
@@ -17,16 +17,6 @@
 const OK: &[u8] = b"+OK\r\n";
 const UNKNOWN_COMMAND: &[u8] = b"-ERR unknown command\r\n";
 
-/// Result of parsing one command.
-enum Parsed {
-    /// The buffer holds no complete command.
-    Incomplete,
-    /// A command was parsed; it was answered or its answer is pending.
-    Handled,
-    /// As `Handled`, but the connection is closed once the commands that are already buffered have been answered.
-    HandledLast,
-}
-
 impl Clients {
     /// Parses and handles all complete commands in a connection's input buffer. Returns false if reading from the connection must
     /// stop for now.
@@ -36,58 +26,77 @@
 
     fn parse_complete_commands(&mut self, key: usize, now: Micros) -> bool {
         let mut offset = 0;
-        let mut close_after_answers = false;
         loop {
             let conn = &self.connections[key];
-            if conn.closing || conn.must_pause_reading() || offset >= conn.buf.len() {
+            if conn.must_pause_reading() || offset >= conn.buf.len() {
                 break;
             }
-            match self.parse_command(key, &mut offset, now) {
-                Parsed::Incomplete => break,
-                Parsed::Handled => {}
-                Parsed::HandledLast => close_after_answers = true,
+            if !self.parse_command(key, &mut offset, now) {
+                break;
             }
         }
         let conn = &mut self.connections[key];
-        conn.closing |= close_after_answers;
-        if conn.closing {
-            offset = conn.buf.len(); // input after the last command to be answered is discarded
+        let must_pause = conn.must_pause_reading();
+        if conn.closing && !must_pause {
+            offset = conn.buf.len(); // the rest of a partial command is not read any more
+            self.write_later(key);
+        }
+        self.remove_parsed_input(key, offset);
+        !must_pause
+    }
+
+    /// Removes the first `length` bytes from a connection's input buffer.
+    fn remove_parsed_input(&mut self, key: usize, length: usize) {
+        let buf = &mut self.connections[key].buf;
+        buf.drain(..length);
+        if buf.is_empty() {
+            *buf = Vec::new(); // frees the memory, as many connections are idle at a time
         }
-        conn.buf.drain(..offset);
-        if conn.buf.is_empty() {
-            conn.buf = Vec::new(); // frees the memory, as many connections are idle at a time
+    }
+
+    /// Rejects the requests in a connection's input buffer, however many answers are pending. What is left of the buffer is a
+    /// partial command.
+    pub(super) fn reject_buffered_commands(&mut self, key: usize, now: Micros) {
+        let rejecting = std::mem::replace(&mut self.rejecting, true);
+        let mut offset = 0;
+        while offset < self.connections[key].buf.len() && self.parse_command(key, &mut offset, now)
+        {
         }
-        !conn.must_pause_reading()
+        self.rejecting = rejecting;
+        self.remove_parsed_input(key, offset);
     }
 
-    /// Parses and handles the command at `offset` of a connection's input buffer, and advances `offset` past the command.
-    fn parse_command(&mut self, key: usize, offset: &mut usize, now: Micros) -> Parsed {
+    /// Parses and handles the command at `offset` of a connection's input buffer, and advances `offset` past the command. Returns
+    /// false if it is not complete.
+    fn parse_command(&mut self, key: usize, offset: &mut usize, now: Micros) -> bool {
         let conn = &mut self.connections[key];
         let length = match resp::command(&conn.buf[*offset..], &mut self.arguments) {
-            Ok(None) => return Parsed::Incomplete,
+            Ok(None) => return false,
             Ok(Some(length)) => length,
             Err(error) => {
-                conn.answer_error(&format!("protocol error: {error}"));
-                conn.closing = true;
-                *offset = conn.buf.len();
+                conn.abort_command(&format!("protocol error: {error}"));
+                *offset = 0; // the input buffer is empty now
                 self.write_later(key);
-                return Parsed::Handled;
+                return true;
             }
         };
         conn.since = now.max(conn.since);
         conn.command_since = now.max(conn.command_since);
         let start = *offset;
         match self.parse_call(key, offset, length) {
-            Some(Ok(call)) => return self.handle_call(key, call, now),
+            Some(Ok(call)) => {
+                self.handle_call(key, call, now);
+                return true;
+            }
             Some(Err(error)) => {
-                let conn = &mut self.connections[key];
-                conn.answer_error(&error.to_string());
-                conn.count_error();
+                let mut text = Vec::new();
+                resp::put_error(&mut text, &error.to_string());
+                self.connections[key].answer_invalid(&text);
             }
             None => self.answer_non_request(key, start, now),
         }
         self.write_later(key);
-        Parsed::Handled
+        true
     }
 
     /// Parses a complete command, whose argument ranges are in `self.arguments`, as a request. Returns none if it is not a
@@ -135,31 +144,29 @@
         if accepts_auth && verb.eq_ignore_ascii_case(b"AUTH") {
             return self.answer_auth(key, start, now);
         }
-        conn.queue_answer(UNKNOWN_COMMAND);
-        conn.count_error();
+        conn.answer_invalid(UNKNOWN_COMMAND);
     }
 
     /// Rejects a request that can't be admitted; queues any other for the event loop.
-    fn handle_call(&mut self, key: usize, mut call: Call, now: Micros) -> Parsed {
+    fn handle_call(&mut self, key: usize, mut call: Call, now: Micros) {
         let class = call.request.class;
-        if self.connections[key].surplus {
-            self.reject_call(key, class, BUSY);
-            return Parsed::HandledLast;
+        let conn = &mut self.connections[key];
+        conn.queue_withheld_errors();
+        if conn.surplus {
+            conn.unsaved.rejected_as_surplus = true;
+            return self.reject_call(key, class, BUSY);
         }
         if self.rejecting {
-            self.reject_call(key, class, BUSY);
-            return Parsed::Handled;
+            return self.reject_call(key, class, BUSY);
         }
         if !self.admission.admits() {
             let rejection = self.admission.rejection();
-            self.reject_call(key, class, &rejection);
-            return Parsed::Handled;
+            return self.reject_call(key, class, &rejection);
         }
         if let Err(refusal) = self.authorize(key, &mut call, now) {
             self.deny(key, &refusal);
             let end = ClientEvent::EndedEarly(class, RequestEnd::Failed);
-            self.events.push_back(end);
-            return Parsed::Handled;
+            return self.events.push_back(end);
         }
         let conn = &mut self.connections[key];
         self.last_request += 1;
@@ -176,7 +183,6 @@
         call.wait = call.wait.saturating_sub(now.saturating_sub(sent_at));
         let event = ClientEvent::Request(id, origin, call);
         self.events.push_back(event);
-        Parsed::Handled
     }
 
     /// Rejects a request with the given answer.
@@ -203,6 +209,7 @@
 
     fn answer_ping(&mut self, key: usize) {
         let conn = &mut self.connections[key];
+        conn.queue_withheld_errors();
         if self.admission.admits() {
             conn.queue_answer(PONG);
         } else {
@@ -216,6 +223,7 @@
             return;
         };
         let conn = &mut self.connections[key];
+        conn.queue_withheld_errors();
         let token = &conn.buf[start..][self.arguments[1].clone()];
         let source = conn.stream.client_source();
         match authenticator.authenticate(PresentedToken { token, source }, now) {
--- a/crates/ingress/src/client/connection.rs
+++ b/crates/ingress/src/client/connection.rs
@@ -16,8 +16,13 @@
 /// Maximum number of bytes of answers buffered for one client; at the limit, reading from the connection stops. The limit is low
 /// enough that the buffers fit in memory even if every file descriptor belongs to a client that sends requests and never reads.
 pub(super) const MAX_UNREAD: usize = 64 * 1024;
-/// Number of consecutive errors after which a connection is closed. Each error costs an answer, and some clients never stop.
+/// Number of consecutive errors after which a connection is closed as soon as it is idle. Beyond it, invalid commands are answered
+/// only if a valid one follows.
 const MAX_ERRORS: u32 = 8;
+/// Number of consecutive errors after which nothing more is read from a connection, as some clients never pause.
+const MAX_ERRORS_BEFORE_READING_ENDS: u32 = 1024;
+/// Answer to each invalid command beyond [`MAX_ERRORS`] that a valid one follows.
+const TOO_MANY_ERRORS: &[u8] = b"-ERR too many errors\r\n";
 
 /// Size of the output buffer in bytes beyond which it grows by [`OUTPUT_RESERVE`] at a time instead of doubling, since its whole
 /// capacity counts as memory.
@@ -30,14 +35,14 @@
 /// Number of bytes that a client's kernel receives even if the client reads nothing: half of the usual initial receive window.
 pub(super) const RECEIVED_UNREAD_BYTES: usize = 32 * 1024;
 
-/// The connection that a request came on, and its position among the commands of that connection.
+/// The connection that a request came on, and the position of its answer on that connection.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Origin {
     /// Key of the connection in the slab.
     pub(super) key: usize,
     /// Serial number of the connection.
     pub(super) serial: u64,
-    /// Index of the request among all commands of its connection, starting at 0.
+    /// Index of the answer slot among all slots of its connection, starting at 0.
     pub(super) index: u64,
 }
 
@@ -48,7 +53,7 @@
     Waiting(RequestId),
     /// The answer is streamed from the backend. Reading it waits until all earlier answers of the connection are written.
     Streaming(RequestId),
-    /// A complete answer that waits for earlier answers.
+    /// Complete answers, one behind the other, that wait for earlier answers.
     Ready(Vec<u8>),
 }
 
@@ -75,6 +80,14 @@
     pub(super) grant_deadline: Option<Micros>,
     /// Number of bytes of a rejected body that are still to be received and discarded. The connection ends at a handover.
     pub(super) rejected_bytes: usize,
+    /// Number of invalid commands whose error answers are withheld. They are answered before a handover.
+    pub(super) withheld_errors: usize,
+    /// The request of a connection beyond the file descriptor budget was rejected. After a handover the connection ends when it
+    /// expires.
+    pub(super) rejected_as_surplus: bool,
+    /// The input can't be split into commands any more. After the half-close it is read and discarded, as the client may still be
+    /// sending the rest of a command.
+    pub(super) framing_lost: bool,
 }
 
 impl UnsavedState {
@@ -98,7 +111,7 @@
     pub(super) buf: Vec<u8>,
     /// Pending answers, in request order.
     pub(super) answers: VecDeque<AnswerSlot>,
-    /// Command index of the front of `answers`.
+    /// Index of the front of `answers` among all slots of this connection.
     pub(super) first_index: u64,
     /// Whether part of a streamed answer at the front of `answers` was appended to `out`. Not serialized: after a handover it is
     /// taken to be so.
@@ -125,18 +138,15 @@
     pub(super) caller: Option<AuthenticatedCaller>,
     /// Number of errors since the last valid command.
     pub(super) errors: u32,
-    /// Further input is discarded, and the connection is closed once all pending answers are written.
+    /// Nothing more is read. The complete commands in `buf` are still answered, and the connection is half-closed once all answers
+    /// are written. A command that stays unread is retried by its client on another connection.
     pub(super) closing: bool,
     /// When a half-closed or surplus connection is removed even if the client has not closed it.
     pub(super) linger_until: Option<Micros>,
-    /// Accepted beyond the file descriptor budget: its first request is rejected, then the connection is closed.
+    /// Accepted beyond the file descriptor budget: its requests are rejected, and it is closed as soon as it is idle.
     pub(super) surplus: bool,
     /// The sending side of the socket is shut down.
     pub(super) half_closed: bool,
-    /// Input is no longer read. A request that was sent before the client saw the half-close stays unread, and the client retries
-    /// it on another connection.
-    #[serde(skip)]
-    pub(super) input_ignored: bool,
     /// Reading has stopped because the queue of answers is full or a memory grant is pending.
     pub(super) stalled: bool,
     pub(super) in_write_queue: bool,
@@ -175,7 +185,6 @@
             linger_until: None,
             surplus: false,
             half_closed: false,
-            input_ignored: false,
             stalled: false,
             in_write_queue: false,
             in_read_queue: false,
@@ -186,26 +195,37 @@
         }
     }
 
-    /// Whether the connection has no pending answers, no unsent output and no partial command.
+    /// Whether the connection has no pending answers, no unsent output and no partial command, and is not being closed.
     pub(super) fn is_idle(&self) -> bool {
         self.has_nothing_pending() && self.buf.is_empty()
     }
 
     /// Whether the connection has no pending answers and no unsent output, and is not being closed.
     fn has_nothing_pending(&self) -> bool {
-        self.answers.is_empty() && self.out.is_empty() && !self.closing && !self.surplus
+        self.answers.is_empty() && self.out.is_empty() && !self.closing
+    }
+
+    /// Whether the connection is closed as soon as it is idle, although its client may go on using it.
+    pub(super) fn ends_when_idle(&self) -> bool {
+        self.errors >= MAX_ERRORS || self.unsaved.rejected_as_surplus
+    }
+
+    /// Whether the input buffer may hold complete commands, which wait until reading from the connection continues.
+    pub(super) fn has_unparsed_commands(&self) -> bool {
+        let waits_for_room = self.stalled && !self.waits_for_grant;
+        (waits_for_room || self.in_read_queue) && !self.buf.is_empty()
     }
 
     /// The current idle state; none if the connection may not be evicted.
     pub(super) fn current_idle_state(&self) -> Option<IdleState> {
         let state = |kind, since| Some(IdleState { kind, since });
         if self.half_closed
-            && self.input_ignored
+            && !self.unsaved.framing_lost
             && self.unsaved.recent_output <= RECEIVED_UNREAD_BYTES
         {
             return state(IdleKind::HalfClosed, self.since);
         }
-        if !self.has_nothing_pending() {
+        if self.surplus || !self.has_nothing_pending() {
             return None;
         }
         if !self.buf.is_empty() {
@@ -219,7 +239,8 @@
 
     /// Whether all answers are written and no further command will be answered.
     pub(super) fn is_done(&self) -> bool {
-        self.closing && self.answers.is_empty() && self.out.is_empty() && !self.half_closed
+        let has_no_output = self.answers.is_empty() && self.out.is_empty();
+        self.closing && self.buf.is_empty() && has_no_output && !self.half_closed
     }
 
     /// Records that bytes were written to the socket.
@@ -286,7 +307,9 @@
     /// Recomputes the memory that this connection holds, and adjusts `total` by the difference.
     pub(super) fn recount(&mut self, total: &mut usize) {
         // Granted memory is not included: it counts with the memory of open requests.
-        let memory = self.ungranted_input() + self.ready_bytes + self.out.capacity();
+        let slots = self.answers.capacity() * size_of::<AnswerSlot>();
+        let answers = slots + self.ready_bytes + self.out.capacity();
+        let memory = self.ungranted_input() + answers;
         *total = *total - self.counted_memory + memory;
         self.counted_memory = memory;
     }
@@ -296,10 +319,29 @@
         self.first_index > 0 || !self.answers.is_empty()
     }
 
-    /// Counts an error. At [`MAX_ERRORS`], the connection is closed after the answer.
+    /// Counts an error, see [`ends_when_idle`](Self::ends_when_idle). After too many of them, nothing more is read.
     pub(super) fn count_error(&mut self) {
-        self.errors += 1;
-        self.closing |= self.errors >= MAX_ERRORS;
+        self.errors = self.errors.saturating_add(1);
+        self.closing |= self.errors >= MAX_ERRORS_BEFORE_READING_ENDS;
+    }
+
+    /// Answers an invalid command with an error. Beyond [`MAX_ERRORS`] in a row the answer is withheld until a valid command
+    /// follows, whose answer the client can only tell by its position.
+    pub(super) fn answer_invalid(&mut self, text: &[u8]) {
+        self.count_error();
+        if self.errors <= MAX_ERRORS {
+            self.queue_answer(text);
+        } else {
+            self.unsaved.withheld_errors += 1;
+        }
+    }
+
+    /// Queues the error answers that were withheld. Must be called before a valid command is answered.
+    pub(super) fn queue_withheld_errors(&mut self) {
+        let count = std::mem::take(&mut self.unsaved.withheld_errors);
+        if count > 0 {
+            self.queue_answer(&TOO_MANY_ERRORS.repeat(count));
+        }
     }
 
     /// Appends an answer to the output buffer.
@@ -319,13 +361,17 @@
         }
     }
 
-    /// Queues an answer to the command just parsed.
+    /// Queues an answer to the command just parsed. Consecutive answers of this kind share a slot.
     pub(super) fn queue_answer(&mut self, text: &[u8]) {
         if self.answers.is_empty() {
             self.append_output(text);
             self.first_index += 1;
+            return;
+        }
+        self.ready_bytes += text.len();
+        if let Some(AnswerSlot::Ready(ready)) = self.answers.back_mut() {
+            ready.extend_from_slice(text);
         } else {
-            self.ready_bytes += text.len();
             self.answers.push_back(AnswerSlot::Ready(text.to_vec()));
         }
     }
@@ -341,6 +387,7 @@
     pub(super) fn abort_command(&mut self, reason: &str) {
         self.answer_error(reason);
         self.closing = true;
+        self.unsaved.framing_lost = true;
         self.discard_input();
     }
 
--- a/crates/ingress/src/client/handover.rs
+++ b/crates/ingress/src/client/handover.rs
@@ -55,7 +55,6 @@
             linger_until,
             surplus,
             half_closed,
-            input_ignored,
             stalled,
             in_write_queue,
             in_read_queue,
@@ -84,7 +83,6 @@
             linger_until,
             surplus,
             half_closed,
-            input_ignored,
             stalled,
             in_write_queue,
             in_read_queue,
@@ -97,6 +95,21 @@
 }
 
 impl Clients {
+    /// Settles what the next process will not know: it is told neither how much of a rejected body is left, so such a connection
+    /// ends once its pending answers are sent, nor which error answers are withheld.
+    pub fn prepare_handover(&mut self) {
+        let concerned = |conn: &ClientConnection| {
+            conn.unsaved.rejected_bytes > 0 || conn.unsaved.withheld_errors > 0
+        };
+        for key in self.keys_where(concerned) {
+            let conn = &mut self.connections[key];
+            conn.closing |= conn.unsaved.rejected_bytes > 0;
+            conn.queue_withheld_errors();
+            conn.recount(&mut self.memory_used);
+            self.write_later(key);
+        }
+    }
+
     /// The current state of all connections, to be sent to the next process.
     pub fn save(&self) -> SavedClients<&ClientConnection> {
         SavedClients {
--- a/crates/ingress/src/client/memory.rs
+++ b/crates/ingress/src/client/memory.rs
@@ -60,10 +60,9 @@
         held >= MAX_UNREAD
     }
 
-    /// Recounts the memory of a connection. While the total is over the limit, closes the connection with the longest partial
-    /// command after sending it an error; if there are no partial commands, closes the connection that holds the most memory,
-    /// without the answers that are not written yet.
-    pub(super) fn enforce_memory(&mut self, key: usize) {
+    /// Recounts the memory of a connection. While the total is over the limit, frees the longest input buffer; if all are empty, closes
+    /// the connection that holds the most memory, without the answers that are not written yet.
+    pub(super) fn enforce_memory(&mut self, key: usize, now: Micros) {
         let Some(conn) = self.connections.get_mut(key) else {
             return;
         };
@@ -78,10 +77,23 @@
                 self.finish_without_output(key, CloseReason::Memory);
                 continue;
             }
+            self.free_input(key, now);
+        }
+    }
+
+    /// Frees the input buffer of a connection: rejects the requests in it. If it holds only a partial command, closes the connection
+    /// after an error.
+    fn free_input(&mut self, key: usize, now: Micros) {
+        let length = self.connections[key].buf.len();
+        self.reject_buffered_commands(key, now);
+        let conn = &mut self.connections[key];
+        if conn.buf.len() == length {
             conn.abort_command("no memory for the rest of a command");
-            conn.recount(&mut self.memory_used);
-            self.write_later(key);
+        } else {
+            conn.buf.shrink_to_fit();
         }
+        conn.recount(&mut self.memory_used);
+        self.write_later(key);
     }
 
     /// Queues a connection for a memory grant if a long body is arriving on it. Returns false if reading from the connection must
@@ -178,14 +190,6 @@
         self.read_later(key);
     }
 
-    /// Ends the connections that are still receiving a rejected body, once their pending answers are sent: how much of it is left is
-    /// not handed over to another process.
-    pub fn close_after_rejected_bodies(&mut self) {
-        for (_, conn) in &mut self.connections {
-            conn.closing |= std::mem::take(&mut conn.unsaved.rejected_bytes) > 0;
-        }
-    }
-
     /// When the next waiting body is rejected unless it gets its memory; [`Micros::MAX`] if none waits.
     pub fn next_grant_deadline(&self) -> Micros {
         let waiting = self.grant_queue.iter();
--- a/crates/ingress/src/client/reading.rs
+++ b/crates/ingress/src/client/reading.rs
@@ -13,12 +13,12 @@
 
 /// Result of one read from a connection.
 enum ReadStep {
-    /// More data may be available.
-    Again,
-    /// All available data has been read and must be parsed.
-    Drained,
-    /// All available data has been read and discarded because the connection is closing.
-    Dropped,
+    /// This many bytes were read into the shared buffer.
+    Received(usize),
+    /// The read was interrupted by a signal.
+    Interrupted,
+    /// No data is available.
+    WouldBlock,
     /// The connection has ended and was removed.
     Removed,
 }
@@ -57,43 +57,49 @@
         }
     }
 
-    /// Reads from a connection. With `until_would_block`, reads until the socket would block, since no further readiness event
-    /// will come for the data it already holds.
+    /// Reads from a connection and parses what has come, unless its input has ended. With `until_would_block`, reads until the
+    /// socket would block, since no further readiness event will come for the data it already holds.
     pub(super) fn read(&mut self, key: usize, now: Micros, until_would_block: bool) {
-        if self
-            .connections
-            .get(key)
-            .is_some_and(|conn| !conn.input_ignored)
-        {
-            self.read_bounded(key, now, until_would_block);
-            self.enforce_memory(key);
-            self.update_idle_state(key);
+        let Some(conn) = self.connections.get(key) else {
+            return;
+        };
+        if !conn.half_closed {
+            self.read_commands(key, now, until_would_block);
+        } else if conn.unsaved.framing_lost {
+            self.discard_input(key, now);
         }
+        self.enforce_memory(key, now);
+        self.update_idle_state(key);
     }
 
-    fn read_bounded(&mut self, key: usize, now: Micros, until_would_block: bool) {
+    fn read_commands(&mut self, key: usize, now: Micros, until_would_block: bool) {
         for step in 0..READS_PER_TURN {
+            let conn = &self.connections[key];
             // With `until_would_block` the client may have disconnected already, which a read reveals. Requests are parsed only
             // after that, so that none is started for a client that is gone. An ingress that was stopped for a while finds many
             // such connections. What an earlier turn has left in the buffer is parsed first, so that the buffer doesn't grow.
-            let conn = &self.connections[key];
-            let has_more = conn.stalled || !conn.buf.is_empty();
+            let must_not_read = conn.closing || conn.stalled || conn.must_pause_reading();
+            let has_more = !conn.buf.is_empty() || must_not_read;
             let parse_first = !until_would_block || (step == 0 && has_more);
             if parse_first && !self.parse_commands(key, now) {
                 self.connections[key].stalled = true;
                 return;
             }
-            match self.read_once(key, now, until_would_block) {
-                ReadStep::Again => {}
-                ReadStep::Dropped | ReadStep::Removed => return,
-                ReadStep::Drained => {
-                    self.connections[key].stalled = !self.parse_commands(key, now);
-                    let conn = &mut self.connections[key];
-                    if conn.granted > 0 {
-                        conn.unsaved.body_sent_at = None; // the rest of the body has not arrived yet
+            if self.connections[key].closing {
+                self.connections[key].stalled = false;
+                return;
+            }
+            match self.read_once(key) {
+                ReadStep::Received(bytes) => {
+                    self.take_input(key, bytes, now);
+                    // A short read has emptied the socket; new data triggers another readiness event.
+                    if bytes < READ_BUFFER_BYTES && !until_would_block {
+                        return self.parse_drained(key, now);
                     }
-                    return;
                 }
+                ReadStep::Interrupted => {}
+                ReadStep::WouldBlock => return self.parse_drained(key, now),
+                ReadStep::Removed => return,
             }
         }
         self.connections[key].stalled = !self.parse_commands(key, now);
@@ -102,37 +108,29 @@
         }
     }
 
-    fn read_once(&mut self, key: usize, now: Micros, until_would_block: bool) -> ReadStep {
+    /// Parses the input of a connection whose socket holds no more of it.
+    fn parse_drained(&mut self, key: usize, now: Micros) {
+        self.connections[key].stalled = !self.parse_commands(key, now);
         let conn = &mut self.connections[key];
-        let bytes = match conn.stream.read(&mut self.read_buffer) {
-            Ok(0) => {
-                self.remove(key);
-                return ReadStep::Removed;
-            }
-            Ok(bytes) => bytes,
-            Err(error) if error.kind() == ErrorKind::Interrupted => return ReadStep::Again,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadStep::Drained,
-            Err(_) => {
-                self.remove(key);
-                return ReadStep::Removed;
-            }
-        };
-        // A short read has emptied the socket; new data triggers another readiness event.
-        let drained = bytes < READ_BUFFER_BYTES && !until_would_block;
-        if conn.closing {
-            // The input is read but discarded. If it were left unread, the kernel would reset the connection on close and the
-            // client could lose its last answers.
-            if let (true, Some(until)) = (conn.half_closed, &mut conn.linger_until) {
-                *until = (now + LINGER_TIMEOUT)
-                    .min(conn.since + MAX_LINGER_TIMEOUT)
-                    .max(*until);
-            }
-            return if drained {
-                ReadStep::Dropped
-            } else {
-                ReadStep::Again
-            };
+        if conn.granted > 0 {
+            conn.unsaved.body_sent_at = None; // the rest of the body has not arrived yet
         }
+    }
+
+    fn read_once(&mut self, key: usize) -> ReadStep {
+        let conn = &mut self.connections[key];
+        match conn.stream.read(&mut self.read_buffer) {
+            Ok(bytes) if bytes > 0 => return ReadStep::Received(bytes),
+            Err(error) if error.kind() == ErrorKind::Interrupted => return ReadStep::Interrupted,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadStep::WouldBlock,
+            Ok(_) | Err(_) => self.remove(key),
+        }
+        ReadStep::Removed
+    }
+
+    /// Appends the first `bytes` of the shared buffer to the input of a connection.
+    fn take_input(&mut self, key: usize, bytes: usize, now: Micros) {
+        let conn = &mut self.connections[key];
         // The timeout of a partial command starts at its first byte, not when the connection became idle. For a long body, each
         // read restarts the timeout.
         if conn.buf.is_empty() || conn.granted > 0 || conn.unsaved.rejected_bytes > 0 {
@@ -142,10 +140,23 @@
         conn.unsaved.rejected_bytes -= discarded;
         conn.buf
             .extend_from_slice(&self.read_buffer[discarded..bytes]);
-        if drained {
-            ReadStep::Drained
-        } else {
-            ReadStep::Again
+    }
+
+    /// Reads and discards input of a half-closed connection, and gives the client more time to read its last answer. If the input
+    /// were left unread, a client that is still sending could not get there before the connection is closed.
+    fn discard_input(&mut self, key: usize, now: Micros) {
+        for _ in 0..READS_PER_TURN {
+            match self.read_once(key) {
+                ReadStep::Received(_) => {}
+                ReadStep::Interrupted => continue,
+                ReadStep::WouldBlock | ReadStep::Removed => return,
+            }
+            let conn = &mut self.connections[key];
+            let longest = conn.since + MAX_LINGER_TIMEOUT;
+            if let Some(until) = &mut conn.linger_until {
+                *until = (now + LINGER_TIMEOUT).min(longest).max(*until);
+            }
         }
+        self.read_later(key);
     }
 }
--- a/crates/ingress/src/ingress/handover.rs
+++ b/crates/ingress/src/ingress/handover.rs
@@ -121,6 +121,7 @@
         self.check_can_hand_over()?;
         let Some(control) = self.control.take() else {
             self.take_client_events();
+            self.clients.prepare_handover();
             let bytes = encode::<V>(layout, &self.outgoing_state(), None)?;
             successor.hand_over(&bytes)?;
             return Ok(successor);
@@ -131,7 +132,7 @@
             |lease| {
                 let mut this = ingress.borrow_mut();
                 this.take_client_events();
-                this.clients.close_after_rejected_bodies();
+                this.clients.prepare_handover();
                 let bytes = encode::<V>(layout, &this.outgoing_state(), lease)?;
                 Ok(successor.hand_over(&bytes)?)
             },
--- a/crates/ingress/tests/identity.rs
+++ b/crates/ingress/tests/identity.rs
@@ -353,3 +353,44 @@
         "a token verified before must be served"
     );
 }
+
+/// Guards against requests of one caller that are never answered, because denied requests of another caller before them on the
+/// same connection end it.
+#[test]
+fn requests_behind_denied_ones_are_answered() {
+    const DENIED: usize = 12;
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "a" => Act::Later(Duration::from_millis(300), served(args)),
+        _ => serve(args),
+    });
+    let site = Site::new(&backend, &listed_key("one", 1, ""));
+    let (valid, forged) = (token(|_| (), 1), token(|_| (), 2));
+    let requests = |letter: &str, round: usize, count: usize, token: &str| -> Vec<u8> {
+        (0..count)
+            .flat_map(|n| quote(OWN_ACCOUNT, &format!("{letter}{round}-{n}"), token))
+            .collect()
+    };
+    for (round, (opens, is_later)) in [(0, false), (1, false), (1, true)].into_iter().enumerate() {
+        let mut client = site.client();
+        client.send(&requests("a", round, opens, &valid));
+        let denied = requests("d", round, DENIED, &forged);
+        let behind = requests("b", round, 4, &valid);
+        if is_later {
+            client.send(&denied);
+            std::thread::sleep(Duration::from_millis(100));
+            client.send(&behind);
+        } else {
+            client.send(&[denied, behind].concat());
+        }
+        for n in 0..opens {
+            assert_eq!(client.answer(), format!("value of a{round}-{n}"));
+        }
+        for n in 0..DENIED {
+            let answer = client.answer();
+            assert!(answer.starts_with("-DENIED"), "{round}, {n}: {answer:?}");
+        }
+        for n in 0..4 {
+            assert_eq!(client.answer(), format!("value of b{round}-{n}"));
+        }
+    }
+}
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod clients;
+mod connection_ends;
 mod descriptors;
 mod discovery;
 mod peers;
--- a/crates/ingress/tests/long/bodies.rs
+++ b/crates/ingress/tests/long/bodies.rs
@@ -287,6 +287,30 @@
     stop.store(true, Ordering::SeqCst);
 }
 
+/// Guards against an answer that is lost because the rest of a rejected body does not come: the connection was closed with an
+/// earlier request still open on it.
+#[test]
+fn an_answer_before_a_rejected_body_arrives_although_the_body_stops() {
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "a" => Act::Later(Duration::from_secs(5), served(args)),
+        _ => serve(args),
+    });
+    let mut setup = setup(&[&backend]);
+    setup.memory_mb = 24;
+    let ingress = setup.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    start_slow_writers(&ingress, 1, &stop);
+    thread::sleep(Duration::from_millis(300));
+    let mut client = ingress.client();
+    client.send(&call("refer", "a1", 7000));
+    let body = post_with_wait("b0", MAX_VALUE_BYTES, 1000);
+    client.send(&body[..100_000]);
+    assert_eq!(client.answer(), "value of a1");
+    assert_eq!(client.answer(), "-BUSY");
+    assert!(client.ended());
+    stop.store(true, Ordering::SeqCst);
+}
+
 /// Guards against a request without any answer, because the process exits while its body waits for memory.
 #[test]
 fn a_body_that_waits_for_memory_is_answered_before_the_exit() {
--- a/crates/ingress/tests/memory_limit.rs
+++ b/crates/ingress/tests/memory_limit.rs
@@ -279,3 +279,40 @@
     );
     watched.check(MEMORY_MB);
 }
+
+/// Guards against requests that are read and never answered because memory is short: they wait in input buffers behind full
+/// pipelines, and the longest buffer is given up.
+#[test]
+fn requests_in_input_buffers_are_answered_when_memory_is_short() {
+    const CLIENTS: usize = 600;
+    const REQUESTS: usize = 500;
+    let release = Arc::new(AtomicBool::new(false));
+    let released = Arc::clone(&release);
+    let backends = backends(move |args| {
+        while !released.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        Act::Say(answer(args, 10))
+    });
+    let watched = Watched::start(&backends, MEMORY_MB);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| watched.ingress.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request(n, &format!("a{n}"), 1, 0));
+    }
+    for (n, client) in clients.iter_mut().enumerate() {
+        let behind: Vec<u8> = (1..REQUESTS)
+            .flat_map(|m| request(n, &format!("b{n}-{m}"), 1, 0))
+            .collect();
+        client.send(&behind);
+    }
+    release.store(true, Ordering::SeqCst);
+    let answered = in_parallel(CLIENTS, |n| {
+        let mut stream = clients[n].0.try_clone().unwrap();
+        (0..REQUESTS)
+            .take_while(|_| read_value(&mut stream).is_some())
+            .count()
+    });
+    let unanswered: usize = answered.iter().map(|count| REQUESTS - count).sum();
+    assert_eq!(unanswered, 0, "requests got no answer");
+    watched.check(MEMORY_MB);
+}
