--- a/crates/ingress/tests/handover/main.rs
+++ b/crates/ingress/tests/handover/main.rs
@@ -14,8 +14,8 @@
     attempts_by_id, backend_pausing_half_way, long_value, longest_pause, Load, Platform, Sampler,
 };
 use wrenfork_testbed::service_fixture::{
-    call, call_of, command, free_address, serve, served, until, Act, Backend, Client, Discovery,
-    Jammed,
+    call, call_of, command, free_address, leave, serve, served, until, Act, Backend, Client,
+    Discovery, Jammed,
 };
 
 /// Guards against connections that are closed or not read, missing answers and duplicate effects during two consecutive
@@ -500,3 +500,83 @@
     assert!(client.answer() == long_value("l2"));
     assert!(second.ended().contains("stopped"));
 }
+
+/// Guards against answers that shift: the process withholds the errors of a client with too many invalid commands, and a request
+/// of this client reaches its successor.
+#[test]
+fn errors_withheld_before_a_handover_are_answered() {
+    let backend = Backend::start(|args| match &args[2][..1] {
+        "a" => Act::Later(Duration::from_millis(1500), served(args)),
+        _ => serve(args),
+    });
+    let platform = Platform::new(&[&backend]);
+    let mut first = platform.start();
+    let mut client = Client::connect(platform.at);
+    let invalid = command(&["GET", "x"]).repeat(12);
+    client.send(&[call("refer", "a1", 5000), invalid].concat());
+    until("the request reaches the backend", || backend.count() == 1);
+    let _second = platform.start();
+    assert!(first.ended().contains("handed over"));
+    client.send(&call("refer", "r2", 5000));
+    assert_eq!(client.answer(), "value of a1");
+    for n in 0..12 {
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR"), "{n}: {answer:?}");
+    }
+    assert_eq!(client.answer(), "value of r2");
+}
+
+/// Guards against the rest of a rejected body being taken for commands by the next process, which does not know how much of it is
+/// left.
+#[test]
+fn the_rest_of_a_rejected_body_is_not_parsed_by_the_next_process() {
+    let backend = Backend::start(serve);
+    let mut platform = Platform::new(&[&backend]);
+    platform.setup.memory_mb = 24;
+    let mut first = platform.start();
+    let post = |id: &str, wait_ms: u32| {
+        let options = format!("c=refer,t=starter,d={wait_ms},units=1,spread=1,first=0");
+        let body = "b".repeat(4 << 20);
+        command(&["CALL.POST", "00000000000000b1", id, &options, &body])
+    };
+    let (mut holder, mut client) = (Client::connect(platform.at), Client::connect(platform.at));
+    holder.send(&post("h1", 5000)[..100_000]);
+    thread::sleep(Duration::from_millis(100));
+    let body = post("b1", 800);
+    client.send(&body[..100_000]);
+    assert_eq!(client.answer(), "-BUSY");
+    let _second = platform.start();
+    assert!(first.ended().contains("handed over"));
+    client.send(&body[100_000..101_000]);
+    assert!(
+        client.ended(),
+        "the connection did not end after its answer"
+    );
+}
+
+/// Guards against an id that runs again at the next process, after its client has left the process before.
+#[test]
+fn an_id_whose_client_left_does_not_run_again_at_the_next_process() {
+    for leaves_before in [true, false] {
+        let backend = Backend::start(|args| Act::Later(Duration::from_millis(300), served(args)));
+        let platform = Platform::new(&[&backend]);
+        let mut first = platform.start();
+        let mut client = Client::connect(platform.at);
+        client.send(&call("refer", "x1", 5000));
+        until("the request reaches the backend", || backend.count() == 1);
+        let client = if leaves_before {
+            leave(client);
+            None
+        } else {
+            Some(client)
+        };
+        let _second = platform.start();
+        assert!(first.ended().contains("handed over"));
+        if let Some(client) = client {
+            leave(client);
+        }
+        let answer = Client::connect(platform.at).ask(&call("refer", "x1", 5000));
+        assert!(answer.starts_with("-ERR"), "{leaves_before}: {answer}");
+        assert_eq!(backend.count(), 1, "{leaves_before}");
+    }
+}
