Clients: while memory is short, nothing more is read behind answers that are due

Need: with input buffers freed by rejecting the requests in them, hundreds of full pipelines were read further only to be rejected.

Change: while clients hold more than half of their memory, a connection with answers due is read again once one of them is written. Its client's requests wait in the kernel. A body that has its grant is still read.

--- a/crates/ingress/src/client/reading.rs
+++ b/crates/ingress/src/client/reading.rs
@@ -74,6 +74,10 @@
 
     fn read_commands(&mut self, key: usize, now: Micros, until_would_block: bool) {
         for step in 0..READS_PER_TURN {
+            if self.must_wait_for_memory(key) {
+                self.connections[key].stalled = true;
+                return;
+            }
             let conn = &self.connections[key];
             // With `until_would_block` the client may have disconnected already, which a read reveals. Requests are parsed only
             // after that, so that none is started for a client that is gone. An ingress that was stopped for a while finds many
@@ -108,6 +112,13 @@
         }
     }
 
+    /// Whether memory is too short to read more from a connection that has answers due. Reading continues when one is written.
+    fn must_wait_for_memory(&self, key: usize) -> bool {
+        let conn = &self.connections[key];
+        let may_wait = !conn.answers.is_empty() && conn.granted == 0;
+        may_wait && self.is_memory_short()
+    }
+
     /// Parses the input of a connection whose socket holds no more of it.
     fn parse_drained(&mut self, key: usize, now: Micros) {
         self.connections[key].stalled = !self.parse_commands(key, now);
