--- a/crates/decision/src/gateway/gossip_in.rs
+++ b/crates/decision/src/gateway/gossip_in.rs
@@ -173,9 +173,9 @@
         })
     }
 
-    /// Registers a reported customer that is unknown here, unless too many are known. If the settings changed since the
-    /// customer was last seen here, takes its plan from the report, since the peer knows the
-    /// current one.
+    /// Registers a reported customer that is unknown here, unless too many are known. If the
+    /// settings changed since the customer was last seen here, takes its plan from the report,
+    /// since the peer knows the current one.
     fn register_reported_customer(&mut self, report: &UsageReport, plan_index: usize) {
         if !self.customers.has_room_for(report.customer) {
             return;
